--- /dev/null
+++ b/node/src/answer.rs
@@ -0,0 +1,50 @@
+//! Final answers to clients.
+
+use crate::clock::Millis;
+use crate::http;
+
+/// A request's final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// What a target made for it.
+    Served(Vec<u8>),
+    /// The fixed response of a refusal: trying again is harmless, after so long (0: no advice).
+    Refused { retry_after: Millis },
+    /// It failed, in time or by time.
+    Failed { expired: bool },
+}
+
+impl Answer {
+    /// The answer in HTTP.
+    pub fn bytes(&self, keep_alive: bool) -> Vec<u8> {
+        match self {
+            Answer::Served(result) => http::response(200, &[], result, keep_alive),
+            Answer::Refused { retry_after } => {
+                let seconds = format!("{:.3}", retry_after / 1e3);
+                let advice = [("Retry-After", seconds)];
+                let headers: &[_] = if *retry_after > 0.0 { &advice } else { &[] };
+                http::response(503, headers, b"", keep_alive)
+            }
+            Answer::Failed { expired } => {
+                http::response(if *expired { 504 } else { 502 }, &[], b"", keep_alive)
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_a_refusal_says_that_trying_again_is_harmless() {
+        let text = |answer: Answer| String::from_utf8(answer.bytes(false)).unwrap();
+        let refused = text(Answer::Refused { retry_after: 120.0 });
+        assert!(refused.starts_with("HTTP/1.1 503 ") && refused.contains("Retry-After: 0.120\r\n"));
+        assert!(!text(Answer::Refused { retry_after: 0.0 }).contains("Retry-After"));
+        assert!(text(Answer::Failed { expired: true }).starts_with("HTTP/1.1 504 "));
+        assert!(text(Answer::Failed { expired: false }).starts_with("HTTP/1.1 502 "));
+        assert!(text(Answer::Served(b"ab".to_vec()))
+            .ends_with("Content-Length: 2\r\nConnection: close\r\n\r\nab"));
+    }
+}
--- /dev/null
+++ b/node/src/config.rs
@@ -0,0 +1,136 @@
+//! What a scheduler is told at its start.
+
+use crate::target_group::List;
+use postusher_settings::Site;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// The configuration, read and checked.
+pub struct Config {
+    /// The scheduler's name.
+    pub name: String,
+    /// Where clients connect, and targets with their news.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// The list of targets as last had.
+    pub known: List,
+    /// The settings, with the names that messages use.
+    pub site: Site,
+}
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    limits: Limits,
+    #[serde(default)]
+    known: serde_json::Value,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+/// Fewer descriptors than this cannot serve anybody.
+const FEWEST_SOCKETS: usize = 64;
+
+impl Config {
+    /// Reads a configuration file, or says in one line what is wrong with it.
+    pub fn load(path: &Path) -> Result<Config, String> {
+        let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Config::read(&text).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    fn read(text: &[u8]) -> Result<Config, String> {
+        let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+        let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed {:?}: {e}", file.seed))?;
+        if file.limits.sockets < FEWEST_SOCKETS {
+            return Err(format!("limits.sockets is {}; {FEWEST_SOCKETS} at least", file.limits.sockets));
+        }
+        let known = match &file.known {
+            serde_json::Value::Null => List::default(),
+            known => List::read(known).map_err(|e| format!("known: {e}"))?,
+        };
+        Ok(Config {
+            name: file.name,
+            listen: file.listen,
+            discovery: file.discovery,
+            seed,
+            sockets: file.limits.sockets,
+            known,
+            site: postusher_settings::read(&file.settings)?,
+        })
+    }
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+    use serde_json::json;
+
+    /// A configuration as the deployment writes it.
+    pub fn sample() -> serde_json::Value {
+        json!({"name": "n3", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 128},
+            "known": {"version": 41, "full": true, "servers": [
+                {"id": "s-1", "addr": "127.0.0.1:9001", "zone": "b", "kind": "k1", "cell": 3, "state": "up",
+                    "weight": 1.0, "started_ms": 0}]},
+            "settings": {"MyZone": 1, "Zones": ["a", "b"], "Models": ["k0", "k1"],
+                "Permissions": {"Cancel": true, "ConnectTimeoutMs": 100, "KeepaliveMs": 5000, "MaxAttempts": 5,
+                    "MaxRetryAfterMs": 2000, "RetryAfter": true, "SecondCopies": true},
+                "Report": {"Fields": ["tps", "concurrent", "x0"], "Source": "inline"},
+                "Rules": {"ColdFrom": 0.4, "FallMs": 1500, "OverloadFactor": 3, "WarmAfterMs": 8000},
+                "Services": [{"Name": "render", "Effect": "repeatable", "GoalTimeMs": 400, "HardLimitMs": 5000},
+                    {"Name": "fund", "Effect": "by_key", "Group": "cell", "GoalTimeMs": 1000,
+                        "HardLimitMs": 20000, "WindowMs": 30000}],
+                "Specifics": {"ReportX0": "free slots"}}})
+    }
+
+    /// The sample, read.
+    pub fn config() -> Config {
+        Config::read(sample().to_string().as_bytes()).unwrap()
+    }
+
+    #[test]
+    fn a_configuration_is_read_whole() {
+        let c = config();
+        assert_eq!((c.name.as_str(), c.seed, c.sockets), ("n3", 0x8c1f_30d2_7a5b_e964, 128));
+        assert_eq!((c.site.classes[1].0.as_str(), c.known.entries.len()), ("fund", 1));
+    }
+
+    #[test]
+    fn what_is_wrong_is_said_in_one_line() {
+        let broken = [
+            ("listen", json!("here")),
+            ("seed", json!("xyz")),
+            ("settings", json!({})),
+            ("limits", json!({"sockets": 3})),
+            ("known", json!(7)),
+        ];
+        for (key, value) in broken {
+            let mut file = sample();
+            file[key] = value;
+            let error = Config::read(file.to_string().as_bytes()).err().unwrap();
+            assert!(!error.is_empty() && !error.contains('\n'), "{key}: {error}");
+        }
+        assert!(Config::load(Path::new("no/such/file")).err().unwrap().contains("no/such/file"));
+    }
+
+    #[test]
+    fn a_list_that_is_not_there_is_an_empty_one() {
+        let mut file = sample();
+        file.as_object_mut().unwrap().remove("known");
+        assert!(Config::read(file.to_string().as_bytes()).unwrap().known.entries.is_empty());
+    }
+}
--- /dev/null
+++ b/node/src/dispatch.rs
@@ -0,0 +1,373 @@
+//! Between the network and the decision module: what has happened goes in as one batch of events, the actions
+//! that come back go out as deeds for the event loop. Ids, attempts and timers are kept here; there are no
+//! sockets, and no decisions.
+
+use crate::answer::Answer;
+use crate::clock::{Millis, Timers};
+use crate::event_loop::Key;
+use crate::forward::End;
+use crate::intake::Job;
+use crate::invariant::{holds, Invariant};
+use crate::news::{report_from_text, News, State};
+use crate::target_group::TargetGroup;
+use postusher::{Action, Dispatcher, Ending, Event, JobId, ListKind, Member, Micros, Outcome, WorkerId};
+use postusher_settings::{micros, Site};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// A request that is still unanswered so long after its deadline was forgotten by the module.
+const OVERDUE: Millis = 20.0;
+
+/// What the event loop is to do.
+#[derive(Debug, PartialEq)]
+pub enum Deed {
+    /// Give a client its answer.
+    Answer(Key, Answer),
+    /// Send a target this request as an attempt.
+    Forward { job: JobId, leg: u8, target: WorkerId, request: Vec<u8> },
+    /// Give up an attempt that no target has taken yet.
+    Abandon(JobId, u8),
+    /// Tell a target that a job it has taken is given up.
+    Withdraw { target: WorkerId, trace: Rc<str> },
+    /// Look at a target's load.
+    Probe(WorkerId),
+    /// Keep a watch on the list.
+    Watch,
+    /// Close the idle connections to a target.
+    Disconnect(WorkerId),
+}
+
+struct Request {
+    client: Key,
+    trace: Rc<str>,
+    job: Job,
+    expires: Millis,
+    answered: bool,
+    legs: Vec<Leg>,
+}
+
+struct Leg {
+    target: WorkerId,
+    name: Rc<str>,
+    sent: Millis,
+    /// The target has said that it has the job.
+    taken: bool,
+    out: bool,
+}
+
+enum Due {
+    Module(u64),
+    Attempt(JobId, u8),
+    Deadline(JobId),
+}
+
+/// How many of each there were since the start.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// Requests taken.
+    pub taken: u64,
+    /// Answers by kind.
+    pub served: u64,
+    /// Refused by the module.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Clients that went away before their answer.
+    pub left: u64,
+    /// Attempts begun.
+    pub forwards: u64,
+}
+
+/// The module with all that it is told and all that it wants.
+pub struct Dispatch {
+    module: Dispatcher,
+    site: Rc<Site>,
+    events: Vec<Event>,
+    deeds: Vec<Deed>,
+    timers: Timers<Due>,
+    requests: HashMap<JobId, Request>,
+    by_trace: HashMap<Rc<str>, JobId>,
+    /// Requests that may be over, or late, looked at once the module has had its say.
+    doubtful: Vec<JobId>,
+    last_id: u32,
+    /// What happened so far.
+    pub counts: Counts,
+}
+
+impl Dispatch {
+    /// A module that knows nothing yet.
+    pub fn new(site: Rc<Site>, seed: u64, now: Millis) -> Self {
+        Dispatch {
+            module: Dispatcher::new(site.settings.clone(), seed, micros(now)),
+            site,
+            events: Vec::new(),
+            deeds: Vec::new(),
+            timers: Timers::new(),
+            requests: HashMap::new(),
+            by_trace: HashMap::new(),
+            doubtful: Vec::new(),
+            last_id: 0,
+            counts: Counts::default(),
+        }
+    }
+
+    /// News of the list.
+    pub fn members(&mut self, kind: ListKind, members: Vec<Member>) {
+        self.events.push(Event::Members { kind, members });
+    }
+
+    /// A client's job; the client's id if another job under way has it already.
+    pub fn arrived(&mut self, client: Key, job: Job, now: Millis) -> Result<JobId, String> {
+        if self.by_trace.contains_key(job.trace.as_str()) {
+            return Err(job.trace);
+        }
+        let (trace, expires) = (Rc::<str>::from(job.trace.as_str()), now + job.wait);
+        self.last_id = self.last_id.wrapping_add(1);
+        while self.requests.contains_key(&JobId(self.last_id)) {
+            self.last_id = self.last_id.wrapping_add(1);
+        }
+        let id = JobId(self.last_id);
+        self.events.push(Event::Arrived(postusher::Job {
+            id,
+            class: job.class,
+            expires: micros(expires),
+            hint: job.hint,
+            slots: job.slots,
+            key: job.key,
+        }));
+        self.timers.set(expires + OVERDUE, Due::Deadline(id));
+        self.by_trace.insert(trace.clone(), id);
+        let legs = Vec::new();
+        self.requests.insert(id, Request { client, trace, job, expires, answered: false, legs });
+        self.counts.taken += 1;
+        Ok(id)
+    }
+
+    /// A client has gone away.
+    pub fn client_gone(&mut self, id: JobId) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
+        r.answered = true;
+        self.counts.left += 1;
+        self.events.push(Event::ClientGone(id));
+        self.doubtful.push(id);
+    }
+
+    /// A target's news. What is late, repeated or of no job here changes nothing.
+    pub fn news(&mut self, news: News, now: Millis) {
+        let Some(id) = self.by_trace.get(news.trace.as_str()).copied() else { return };
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let out = |l: &&mut Leg| l.out && *l.name == *news.from;
+        let Some((leg, l)) = r.legs.iter_mut().enumerate().rfind(|(_, l)| out(l)) else { return };
+        let leg = leg as u8;
+        match news.state {
+            State::Started => {
+                l.taken = true;
+                self.events.push(Event::Started { job: id, leg });
+            }
+            State::Running(done) => {
+                l.taken = true;
+                self.events.push(Event::Progress { job: id, leg, done });
+            }
+            State::Done(result) => {
+                if !r.answered {
+                    self.answer(id, Answer::Served(result)); // the first result is the client's, at once
+                }
+                self.settle(id, leg, Ending::Ok, news.report, now);
+            }
+            State::Failed => self.settle(id, leg, Ending::Error, news.report, now),
+            State::Returned => self.settle(id, leg, Ending::Full, news.report, now),
+            State::Lost => self.settle(id, leg, Ending::Reset, news.report, now),
+        }
+    }
+
+    /// How sending an attempt to its target ended.
+    pub fn forwarded(&mut self, id: JobId, leg: u8, end: End, now: Millis) {
+        let l = self.requests.get_mut(&id).and_then(|r| r.legs.get_mut(usize::from(leg)));
+        let Some(l) = l.filter(|l| l.out) else { return };
+        let answer = match end {
+            // Its news may have come first: a break says nothing of a job that the target has.
+            End::Broken if l.taken => return,
+            End::Broken => return self.settle(id, leg, Ending::Reset, Vec::new(), now),
+            End::NotSent => return self.settle(id, leg, Ending::ConnectFailed, Vec::new(), now),
+            End::Answer(answer) => answer,
+        };
+        let never_ran = answer.headers.get("X-Never-Ran") == Some("1");
+        match answer.line.status {
+            202 => l.taken = true,
+            status => {
+                let full = matches!(status, 503 | 504) && never_ran;
+                let load = answer.headers.get("Endpoint-Load-Metrics");
+                let report = load.map_or(Vec::new(), |text| report_from_text(text, &self.site));
+                self.settle(id, leg, if full { Ending::Full } else { Ending::Error }, report, now);
+            }
+        }
+    }
+
+    /// How a probe ended.
+    pub fn probed(&mut self, worker: WorkerId, end: Option<End>) {
+        let (ending, report) = match end {
+            Some(End::Answer(m)) => {
+                let text = std::str::from_utf8(&m.body).unwrap_or("");
+                let ending = if m.line.status == 200 { Ending::Ok } else { Ending::Error };
+                (ending, report_from_text(text, &self.site))
+            }
+            Some(End::NotSent) => (Ending::ConnectFailed, Vec::new()),
+            Some(End::Broken) => (Ending::Reset, Vec::new()),
+            None => (Ending::Timeout, Vec::new()),
+        };
+        self.events.push(Event::Probed { worker, ending, report });
+    }
+
+    /// Lets all timers come due that are.
+    pub fn due(&mut self, now: Millis) {
+        while let Some(due) = self.timers.due(now) {
+            match due {
+                Due::Module(cookie) => self.events.push(Event::Timer(cookie)),
+                Due::Attempt(id, leg) => self.expired(id, leg, now),
+                Due::Deadline(id) => self.doubtful.push(id),
+            }
+        }
+    }
+
+    /// When the next timer is due.
+    pub fn next_due(&self) -> Option<Millis> {
+        self.timers.next()
+    }
+
+    /// Whether the module is still owed something.
+    pub fn has_events(&self) -> bool {
+        !self.events.is_empty()
+    }
+
+    /// How many requests have no answer yet.
+    pub fn unanswered(&self) -> usize {
+        self.requests.values().filter(|r| !r.answered).count()
+    }
+
+    /// Hands the module all that was gathered and turns what it wants into deeds.
+    pub fn decide(&mut self, group: &TargetGroup, now: Millis) -> Vec<Deed> {
+        let mut actions = Vec::new();
+        self.module.handle_all(self.events.drain(..), micros(now), &mut actions);
+        for action in actions {
+            self.act(action, group, now);
+        }
+        for id in std::mem::take(&mut self.doubtful) {
+            self.look_at(id, now);
+        }
+        std::mem::take(&mut self.deeds)
+    }
+
+    fn act(&mut self, action: Action, group: &TargetGroup, now: Millis) {
+        match action {
+            Action::Send { job, worker, within } => self.send(job, worker, within, group, now),
+            Action::Withdraw { job, leg } => self.withdraw(job, leg, now),
+            Action::Refuse { job, retry_after } => {
+                self.answer(job, Answer::Refused { retry_after: retry_after as f64 / 1e3 });
+            }
+            Action::Fail { job } => {
+                let expired = self.requests.get(&job).is_some_and(|r| r.expires <= now);
+                self.answer(job, Answer::Failed { expired });
+            }
+            Action::Wake { after, cookie } => {
+                self.timers.set(now + after as f64 / 1e3, Due::Module(cookie));
+            }
+            Action::Probe { worker } => self.deeds.push(Deed::Probe(worker)),
+            Action::Subscribe => self.deeds.push(Deed::Watch),
+            Action::Disconnect { worker } => self.deeds.push(Deed::Disconnect(worker)),
+        }
+    }
+
+    /// A request's one final answer; what comes after it is ignored.
+    fn answer(&mut self, id: JobId, answer: Answer) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
+        r.answered = true;
+        match answer {
+            Answer::Served(_) => self.counts.served += 1,
+            Answer::Refused { .. } => self.counts.refused += 1,
+            Answer::Failed { .. } => self.counts.failed += 1,
+        }
+        self.deeds.push(Deed::Answer(r.client, answer));
+        self.doubtful.push(id);
+    }
+
+    fn send(&mut self, id: JobId, target: WorkerId, within: Micros, group: &TargetGroup, now: Millis) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let listed = group.get(target);
+        let name = listed.map_or_else(|| "".into(), |t| t.name.clone());
+        let leg = r.legs.len() as u8;
+        r.legs.push(Leg { target, name, sent: now, taken: false, out: true });
+        let until = if within == 0 { r.expires } else { r.expires.min(now + within as f64 / 1e3) };
+        let twice = r.legs.iter().filter(|l| l.out && l.target == target).count() > 1;
+        // What came before in the same batch may have ended the request.
+        if r.answered || twice {
+            return self.settle(id, leg, Ending::Moot, Vec::new(), now);
+        }
+        // A target can go, by the list, between two events of one batch.
+        if listed.is_none() {
+            return self.settle(id, leg, Ending::ConnectFailed, Vec::new(), now);
+        }
+        let request = r.job.payload.request(until - now);
+        self.timers.set(until, Due::Attempt(id, leg));
+        self.counts.forwards += 1;
+        self.deeds.push(Deed::Forward { job: id, leg, target, request });
+    }
+
+    fn withdraw(&mut self, id: JobId, leg: u8, now: Millis) {
+        if self.give_up(id, leg) {
+            self.settle(id, leg, Ending::Cancelled, Vec::new(), now);
+        }
+    }
+
+    /// An attempt's time is over.
+    fn expired(&mut self, id: JobId, leg: u8, now: Millis) {
+        if self.give_up(id, leg) {
+            self.settle(id, leg, Ending::Timeout, Vec::new(), now);
+        }
+    }
+
+    /// Lets go of an attempt, if it is out; says if it was.
+    fn give_up(&mut self, id: JobId, leg: u8) -> bool {
+        let Some(r) = self.requests.get(&id) else { return false };
+        let Some(l) = r.legs.get(usize::from(leg)).filter(|l| l.out) else { return false };
+        if !l.taken {
+            self.deeds.push(Deed::Abandon(id, leg));
+        } else if self.site.settings.cancel {
+            self.deeds.push(Deed::Withdraw { target: l.target, trace: r.trace.clone() });
+        }
+        true
+    }
+
+    /// Every attempt ends once.
+    fn settle(&mut self, job: JobId, leg: u8, ending: Ending, report: Vec<f64>, now: Millis) {
+        let Some(r) = self.requests.get_mut(&job) else { return };
+        let (done, legs) = (r.answered, &mut r.legs);
+        let Some(l) = legs.get_mut(usize::from(leg)) else { return };
+        if holds(Invariant::SettledOnce, l.out) {
+            l.out = false;
+            let latency = micros(now - l.sent);
+            self.events.push(Event::Settled(Outcome { job, leg, ending, latency, done, report }));
+            self.doubtful.push(job);
+        }
+    }
+
+    /// A request that is answered and has no attempt out is over; one that has outlived its deadline fails.
+    fn look_at(&mut self, id: JobId, now: Millis) {
+        let Some(r) = self.requests.get(&id) else { return };
+        if !r.answered && now >= r.expires + OVERDUE {
+            // Guards against: a client that waits for ever, should the module ever forget its job.
+            holds(Invariant::AnsweredInTime, false);
+            self.events.push(Event::ClientGone(id));
+            self.answer(id, Answer::Failed { expired: true });
+        }
+        let Some(r) = self.requests.get(&id) else { return };
+        // The module may have ideas of its own about a job until it has had all that is gathered.
+        if r.answered && r.legs.iter().all(|l| !l.out) {
+            if self.events.is_empty() {
+                let over = self.requests.remove(&id);
+                over.map(|r| self.by_trace.remove(&r.trace));
+            } else {
+                self.doubtful.push(id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/forward.rs
@@ -0,0 +1,166 @@
+//! The targets' side of a connection, without its socket: one task at a time, and the idle ones of each target.
+
+use crate::event_loop::Key;
+use crate::http::{Decoder, Message, Outbox, StatusLine};
+use crate::invariant::{holds, Invariant};
+use postusher::{JobId, WorkerId};
+use std::collections::HashMap;
+
+/// What a connection is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Task {
+    /// An attempt of a job, until the target has taken it.
+    Attempt(JobId, u8),
+    /// Telling a target that an attempt is given up.
+    Withdrawal,
+    /// Looking at a target's load.
+    Probe(WorkerId),
+}
+
+/// How a task ended.
+#[derive(Debug)]
+pub enum End {
+    /// With an answer.
+    Answer(Message<StatusLine>),
+    /// Before its last byte was written: the target cannot have begun it.
+    NotSent,
+    /// After that, without an answer.
+    Broken,
+}
+
+/// A connection to a target.
+pub struct Connection {
+    /// Which target.
+    pub target: WorkerId,
+    decoder: Decoder<StatusLine>,
+    /// The request on its way.
+    pub outbox: Outbox,
+    task: Option<Task>,
+    up: bool,
+    open: bool,
+}
+
+impl Connection {
+    /// A connection that is being opened.
+    pub fn new(target: WorkerId) -> Self {
+        let (decoder, outbox) = (Decoder::new(), Outbox::default());
+        Connection { target, decoder, outbox, task: None, up: false, open: true }
+    }
+
+    /// Begins a task with its request.
+    pub fn start(&mut self, task: Task, request: &[u8]) {
+        if holds(Invariant::ConnectionIdle, self.open && self.task.is_none()) {
+            self.task = Some(task);
+            self.outbox.put(request);
+        }
+    }
+
+    /// It is up.
+    pub fn connected(&mut self) {
+        self.up = true;
+    }
+
+    /// What it is used for.
+    pub fn task(&self) -> Option<Task> {
+        self.task
+    }
+
+    /// Whether it is up.
+    pub fn is_up(&self) -> bool {
+        self.up
+    }
+
+    /// Whether it can be given a task.
+    pub fn is_idle(&self) -> bool {
+        self.open && self.up && self.task.is_none()
+    }
+
+    /// Whether it is of no more use.
+    pub fn is_closed(&self) -> bool {
+        !self.open
+    }
+
+    /// Takes in what was read; says if that ends the task.
+    pub fn receive(&mut self, bytes: &[u8]) -> Option<(Task, End)> {
+        self.decoder.feed(bytes);
+        loop {
+            match self.decoder.next() {
+                Ok(Some(m)) if (100..200).contains(&m.line.status) => continue,
+                Ok(Some(m)) => return self.answered(m),
+                // Guards against: bytes that nobody asked for, which the next task would take for its answer.
+                Ok(None) if self.task.is_none() && !self.decoder.is_empty() => self.open = false,
+                Ok(None) => {}
+                Err(_) => return self.broken(),
+            }
+            return None;
+        }
+    }
+
+    fn answered(&mut self, message: Message<StatusLine>) -> Option<(Task, End)> {
+        // An answer before the request's last byte leaves the rest of it unread.
+        self.open &= message.keep_alive && self.decoder.is_empty() && self.outbox.unsent().is_empty();
+        let task = self.task.take();
+        self.open &= task.is_some();
+        Some((task?, End::Answer(message)))
+    }
+
+    /// It never came up, ended or failed; says how that ends the task.
+    pub fn broken(&mut self) -> Option<(Task, End)> {
+        self.open = false;
+        let whole = self.decoder.end();
+        let end = match whole {
+            Some(message) => End::Answer(message),
+            None if self.outbox.unsent().is_empty() => End::Broken,
+            None => End::NotSent,
+        };
+        Some((self.task.take()?, end))
+    }
+
+    /// The task is given up. A request of which nothing was written is taken back; else the connection is done.
+    pub fn give_up(&mut self) {
+        if self.task.take().is_some() {
+            self.open &= !self.outbox.unsent().is_empty() && !self.outbox.is_begun();
+            self.outbox.clear();
+        }
+    }
+}
+
+/// The idle connections of each target, the one used last on top, and where attempts are under way.
+#[derive(Default)]
+pub struct Pool {
+    idle: HashMap<WorkerId, Vec<Key>>,
+    /// Attempts that no target has taken yet.
+    pub attempts: HashMap<(JobId, u8), Key>,
+}
+
+impl Pool {
+    /// Keeps an idle connection.
+    pub fn put(&mut self, target: WorkerId, key: Key) {
+        self.idle.entry(target).or_default().push(key);
+    }
+
+    /// Takes the idle connection used last.
+    pub fn take(&mut self, target: WorkerId) -> Option<Key> {
+        self.idle.get_mut(&target)?.pop()
+    }
+
+    /// A connection is no longer there.
+    pub fn remove(&mut self, target: WorkerId, key: Key) {
+        if let Some(idle) = self.idle.get_mut(&target) {
+            idle.retain(|k| *k != key);
+            if idle.is_empty() {
+                self.idle.remove(&target);
+            }
+        }
+    }
+
+    /// Takes all idle connections of a target.
+    pub fn take_all(&mut self, target: WorkerId) -> Vec<Key> {
+        self.idle.remove(&target).unwrap_or_default()
+    }
+
+    /// Any idle connection, of those idle for longest at their targets.
+    pub fn any(&self) -> Option<Key> {
+        self.idle.values().find_map(|idle| idle.first().copied())
+    }
+}
--- /dev/null
+++ b/node/src/http.rs
@@ -0,0 +1,442 @@
+//! HTTP/1.1 framing, shared by all connections: heads by httparse, bodies by length, by chunks or to the end.
+
+use std::fmt::Write;
+
+/// A body holds this much at most.
+pub const MAX_BODY: usize = 64 * 1024;
+/// And a head this much.
+pub const MAX_HEAD: usize = 16 * 1024;
+const MAX_HEADERS: usize = 64;
+/// A chunk's size line holds this much at most.
+const MAX_CHUNK_LINE: usize = 256;
+
+/// Why input cannot be read, as the status to answer it with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fault(pub u16);
+
+const BAD: Fault = Fault(400);
+
+/// Header lines in order.
+#[derive(Clone, Debug, Default)]
+pub struct Headers(pub Vec<(String, Vec<u8>)>);
+
+impl Headers {
+    fn from(parsed: &[httparse::Header]) -> Headers {
+        Headers(parsed.iter().map(|h| (h.name.to_string(), h.value.to_vec())).collect())
+    }
+
+    /// All values of a header.
+    fn all<'a, 'n>(&'a self, name: &'n str) -> impl Iterator<Item = &'a [u8]> + use<'a, 'n> {
+        self.0.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_slice())
+    }
+
+    /// The first value of a header, where it is text.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        std::str::from_utf8(self.all(name).next()?).ok().map(str::trim)
+    }
+
+    /// Whether a header's comma-separated values name this one.
+    fn names(&self, name: &str, token: &str) -> bool {
+        let text = |v| std::str::from_utf8(v).unwrap_or("");
+        self.all(name).flat_map(|v| text(v).split(',')).any(|t| t.trim().eq_ignore_ascii_case(token))
+    }
+}
+
+/// The first line of a message.
+pub trait StartLine: Sized {
+    /// Reads a head: the line, the minor version, the headers and the head's length, once it is whole.
+    fn parse(bytes: &[u8]) -> Result<Option<(Self, u8, Headers, usize)>, Fault>;
+    /// What a body without a stated length is; `None`: the message has no body whatever is stated.
+    fn unstated(&self) -> Option<Framing>;
+}
+
+/// A request's first line.
+#[derive(Clone, Debug)]
+pub struct RequestLine {
+    /// Such as `POST`.
+    pub method: String,
+    /// Path and query, as they came.
+    pub target: String,
+}
+
+/// An answer's first line.
+#[derive(Clone, Debug)]
+pub struct StatusLine {
+    /// The status.
+    pub status: u16,
+}
+
+fn fault(e: httparse::Error) -> Fault {
+    if e == httparse::Error::TooManyHeaders {
+        Fault(431)
+    } else {
+        BAD
+    }
+}
+
+impl StartLine for RequestLine {
+    fn parse(bytes: &[u8]) -> Result<Option<(Self, u8, Headers, usize)>, Fault> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut head = httparse::Request::new(&mut headers);
+        let httparse::Status::Complete(len) = head.parse(bytes).map_err(fault)? else { return Ok(None) };
+        let (method, target) = (head.method.unwrap_or("").into(), head.path.unwrap_or("").into());
+        Ok(Some((
+            RequestLine { method, target },
+            head.version.unwrap_or(0),
+            Headers::from(head.headers),
+            len,
+        )))
+    }
+
+    fn unstated(&self) -> Option<Framing> {
+        Some(Framing::Length(0))
+    }
+}
+
+impl StartLine for StatusLine {
+    fn parse(bytes: &[u8]) -> Result<Option<(Self, u8, Headers, usize)>, Fault> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut head = httparse::Response::new(&mut headers);
+        let httparse::Status::Complete(len) = head.parse(bytes).map_err(fault)? else { return Ok(None) };
+        let line = StatusLine { status: head.code.unwrap_or(0) };
+        Ok(Some((line, head.version.unwrap_or(0), Headers::from(head.headers), len)))
+    }
+
+    fn unstated(&self) -> Option<Framing> {
+        (!matches!(self.status, 100..=199 | 204 | 304)).then_some(Framing::ToEnd)
+    }
+}
+
+/// How much of a body is to come.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Framing {
+    /// So many bytes.
+    Length(usize),
+    /// A chunk's size line is next.
+    ChunkSize,
+    /// So many bytes of a chunk, its line end included.
+    Chunk(usize),
+    /// Lines after the last chunk, up to an empty one.
+    Trailer,
+    /// All until the connection ends.
+    ToEnd,
+}
+
+/// A whole message.
+#[derive(Clone, Debug)]
+pub struct Message<S> {
+    /// Its first line.
+    pub line: S,
+    /// Its headers.
+    pub headers: Headers,
+    /// Its body, without framing.
+    pub body: Vec<u8>,
+    /// Whether its sender keeps the connection.
+    pub keep_alive: bool,
+}
+
+/// Takes bytes as they come and gives whole messages.
+pub struct Decoder<S> {
+    buffer: Vec<u8>,
+    /// Up to here no head has ended.
+    scanned: usize,
+    begun: Option<(Message<S>, Framing)>,
+}
+
+impl<S: StartLine> Decoder<S> {
+    /// Nothing read yet.
+    pub fn new() -> Self {
+        Decoder { buffer: Vec::new(), scanned: 0, begun: None }
+    }
+
+    /// Takes in bytes.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Whether nothing of a further message has come.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty() && self.begun.is_none()
+    }
+
+    /// Whether it holds more than one message can need, so that nothing should be read before it is taken.
+    pub fn is_full(&self) -> bool {
+        self.buffer.len() > MAX_HEAD + MAX_BODY
+    }
+
+    /// Whether the head has come and its sender waits for a word before the body.
+    pub fn expects_continue(&self) -> bool {
+        self.begun.as_ref().is_some_and(|(m, _)| m.headers.names("expect", "100-continue"))
+    }
+
+    /// The next message, if it has come whole.
+    pub fn next(&mut self) -> Result<Option<Message<S>>, Fault> {
+        if self.begun.is_none() {
+            self.begun = self.head()?;
+        }
+        let Some((mut message, mut framing)) = self.begun.take() else { return Ok(None) };
+        loop {
+            match self.step(&mut message.body, framing)? {
+                Step::More => {
+                    self.begun = Some((message, framing));
+                    return Ok(None);
+                }
+                Step::Next(next) => framing = next,
+                Step::Done => return Ok(Some(message)),
+            }
+        }
+    }
+
+    /// The connection has ended: a message that goes to the end is whole now.
+    pub fn end(&mut self) -> Option<Message<S>> {
+        self.begun.take().filter(|(_, framing)| *framing == Framing::ToEnd).map(|(message, _)| message)
+    }
+
+    fn head(&mut self) -> Result<Option<(Message<S>, Framing)>, Fault> {
+        // Guards against: a head that trickles in and would be parsed from its start for every byte.
+        let from = self.scanned.saturating_sub(3);
+        let new = &self.buffer[from.min(self.buffer.len())..];
+        let ends = new.windows(3).any(|w| w == b"\n\r\n") || new.windows(2).any(|w| w == b"\n\n");
+        self.scanned = self.buffer.len();
+        if !ends {
+            return if self.buffer.len() > MAX_HEAD { Err(Fault(431)) } else { Ok(None) };
+        }
+        let Some((line, minor, headers, len)) = S::parse(&self.buffer)? else { return Ok(None) };
+        if len > MAX_HEAD {
+            return Err(Fault(431));
+        }
+        let framing = framing(&line, &headers)?;
+        self.buffer.drain(..len);
+        self.scanned = 0;
+        let close = headers.names("connection", "close");
+        let keep_alive = !close && (minor > 0 || headers.names("connection", "keep-alive"));
+        let keep_alive = keep_alive && framing != Framing::ToEnd;
+        Ok(Some((Message { line, headers, body: Vec::new(), keep_alive }, framing)))
+    }
+
+    fn step(&mut self, body: &mut Vec<u8>, framing: Framing) -> Result<Step, Fault> {
+        let have = self.buffer.len();
+        match framing {
+            Framing::Length(want) if want > MAX_BODY => Err(Fault(413)),
+            Framing::Length(want) if have < want => Ok(Step::More),
+            Framing::Length(want) => {
+                body.extend(self.buffer.drain(..want));
+                Ok(Step::Done)
+            }
+            Framing::ToEnd => {
+                body.append(&mut self.buffer);
+                if body.len() > MAX_BODY {
+                    return Err(Fault(413));
+                }
+                Ok(Step::More)
+            }
+            Framing::ChunkSize => match httparse::parse_chunk_size(&self.buffer).map_err(|_| BAD)? {
+                httparse::Status::Partial if have > MAX_CHUNK_LINE => Err(BAD),
+                httparse::Status::Partial => Ok(Step::More),
+                httparse::Status::Complete((_, size)) if size > (MAX_BODY - body.len()) as u64 => {
+                    Err(Fault(413))
+                }
+                httparse::Status::Complete((line, size)) => {
+                    self.buffer.drain(..line);
+                    let next = if size == 0 { Framing::Trailer } else { Framing::Chunk(size as usize + 2) };
+                    Ok(Step::Next(next))
+                }
+            },
+            Framing::Chunk(want) if have < want => Ok(Step::More),
+            Framing::Chunk(want) => {
+                if !self.buffer[..want].ends_with(b"\r\n") {
+                    return Err(BAD);
+                }
+                body.extend_from_slice(&self.buffer[..want - 2]);
+                self.buffer.drain(..want);
+                Ok(Step::Next(Framing::ChunkSize))
+            }
+            Framing::Trailer => match self.buffer.iter().position(|b| *b == b'\n') {
+                None if have > MAX_HEAD => Err(Fault(431)),
+                None => Ok(Step::More),
+                Some(end) => {
+                    let line: Vec<u8> = self.buffer.drain(..=end).collect();
+                    Ok(if line.trim_ascii().is_empty() { Step::Done } else { Step::Next(Framing::Trailer) })
+                }
+            },
+        }
+    }
+}
+
+enum Step {
+    /// More bytes are needed.
+    More,
+    /// On with what comes next.
+    Next(Framing),
+    /// The message is whole.
+    Done,
+}
+
+/// How a message's body is framed. Guards against: lengths that two readers would read differently.
+fn framing<S: StartLine>(line: &S, headers: &Headers) -> Result<Framing, Fault> {
+    let Some(unstated) = line.unstated() else { return Ok(Framing::Length(0)) };
+    let mut lengths = headers.all("content-length");
+    let length = lengths.next();
+    if lengths.any(|other| Some(other) != length) {
+        return Err(BAD);
+    }
+    let mut codings = headers.all("transfer-encoding");
+    match (codings.next(), length) {
+        (Some(_), Some(_)) => Err(BAD),
+        (Some(coding), None) if codings.next().is_none() && coding.eq_ignore_ascii_case(b"chunked") => {
+            Ok(Framing::ChunkSize)
+        }
+        (Some(_), None) => Err(Fault(501)),
+        (None, Some(length)) => {
+            let text = std::str::from_utf8(length).map_err(|_| BAD)?;
+            if text.is_empty() || !text.bytes().all(|b| b.is_ascii_digit()) {
+                return Err(BAD);
+            }
+            // A number too long to hold is too large all the same.
+            Ok(Framing::Length(text.parse().unwrap_or(usize::MAX)))
+        }
+        (None, None) => Ok(unstated),
+    }
+}
+
+/// The usual words for a status.
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Error",
+    }
+}
+
+/// An answer's bytes.
+pub fn response(status: u16, headers: &[(&str, String)], body: &[u8], keep_alive: bool) -> Vec<u8> {
+    let mut text = format!("HTTP/1.1 {status} {}\r\n", reason(status));
+    for (name, value) in headers {
+        let _ = write!(text, "{name}: {value}\r\n");
+    }
+    let _ = write!(text, "Content-Length: {}\r\n", body.len());
+    text.push_str(if keep_alive { "\r\n" } else { "Connection: close\r\n\r\n" });
+    [text.as_bytes(), body].concat()
+}
+
+/// A request's bytes; headers are written as they came.
+pub fn request(line: &RequestLine, headers: &[(&str, &[u8])], body: &[u8]) -> Vec<u8> {
+    let mut bytes = format!("{} {} HTTP/1.1\r\n", line.method, line.target).into_bytes();
+    for (name, value) in headers {
+        bytes.extend([name.as_bytes(), b": ", value, b"\r\n"].concat());
+    }
+    if !body.is_empty() || line.method != "GET" {
+        bytes.extend(format!("Content-Length: {}\r\n", body.len()).into_bytes());
+    }
+    [&bytes, &b"\r\n"[..], body].concat()
+}
+
+/// Bytes that wait to be written.
+#[derive(Default)]
+pub struct Outbox {
+    bytes: Vec<u8>,
+    sent: usize,
+}
+
+impl Outbox {
+    /// Adds bytes.
+    pub fn put(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// What is left to write.
+    pub fn unsent(&self) -> &[u8] {
+        &self.bytes[self.sent..]
+    }
+
+    /// So much of it was written.
+    pub fn sent(&mut self, n: usize) {
+        self.sent += n;
+        if self.sent >= self.bytes.len() {
+            self.bytes.clear();
+            self.sent = 0;
+        }
+    }
+
+    /// Whether part of what is in it was written, but not all.
+    pub fn is_begun(&self) -> bool {
+        self.sent > 0
+    }
+
+    /// Drops what is left.
+    pub fn clear(&mut self) {
+        self.bytes.clear();
+        self.sent = 0;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(text: &str) -> Result<Option<Message<RequestLine>>, Fault> {
+        let mut decoder = Decoder::new();
+        decoder.feed(text.as_bytes());
+        decoder.next()
+    }
+
+    #[test]
+    fn a_message_reads_the_same_however_it_is_split() {
+        let text = "POST /a?b=1 HTTP/1.1\r\nX: y\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=1\r\nde\r\n0\r\nT: u\r\n\r\nGET /up HTTP/1.0\r\n\r\n";
+        for step in 1..text.len() {
+            let (mut decoder, mut got) = (Decoder::<RequestLine>::new(), Vec::new());
+            for part in text.as_bytes().chunks(step) {
+                decoder.feed(part);
+                while let Some(m) = decoder.next().unwrap() {
+                    got.push((m.line.method, m.line.target, m.body, m.keep_alive));
+                }
+            }
+            assert_eq!(got[0], ("POST".into(), "/a?b=1".into(), b"abcde".to_vec(), true), "{step}");
+            assert_eq!(got[1], ("GET".into(), "/up".into(), Vec::new(), false), "{step}");
+            assert!(got.len() == 2 && decoder.is_empty());
+        }
+    }
+
+    #[test]
+    fn bad_input_is_named_by_its_status() {
+        let long = format!("GET / HTTP/1.1\r\nX: {}", "y".repeat(MAX_HEAD));
+        let many = format!("GET / HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(MAX_HEADERS + 1));
+        let cases = [
+            ("nonsense\r\n\r\n", 400),
+            ("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+            ("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+            ("POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+            ("POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413),
+            ("POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n", 413),
+            ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n", 413),
+            ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+            ("POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
+            (&long, 431),
+            (&many, 431),
+        ];
+        for (text, status) in cases {
+            assert_eq!(read(text).err(), Some(Fault(status)), "{text:.60}");
+        }
+    }
+
+    #[test]
+    fn an_answer_without_length_goes_to_the_end() {
+        let mut decoder = Decoder::<StatusLine>::new();
+        decoder.feed(b"HTTP/1.1 200 OK\r\n\r\nab");
+        assert!(decoder.next().unwrap().is_none());
+        let message = decoder.end().unwrap();
+        assert_eq!((message.body.as_slice(), message.keep_alive), (&b"ab"[..], false));
+        decoder.feed(b"HTTP/1.1 204 No\r\n\r\n");
+        assert!(decoder.next().unwrap().unwrap().keep_alive);
+    }
+}
--- /dev/null
+++ b/node/src/intake.rs
@@ -0,0 +1,215 @@
+//! From a message of a client's protocol to a job that is neutral to it. A second protocol gets a reader of
+//! its own beside [`read`], makes the same [`Job`], and so comes under the same decisions and rules.
+
+use crate::clock::Millis;
+use crate::http::{self, Headers, Message, RequestLine};
+use postusher::Micros;
+use postusher_settings::Site;
+
+/// What a scheduler has to know of a job.
+pub struct Job {
+    /// The client's id for it.
+    pub trace: String,
+    /// Its class, by number.
+    pub class: u16,
+    /// What it concerns; 0 where it has no key.
+    pub key: u64,
+    /// A guess at its running time.
+    pub hint: Option<Micros>,
+    /// Slots that it takes.
+    pub slots: u32,
+    /// For how long the client waits, from when it sent the job.
+    pub wait: Millis,
+    /// What a target is sent.
+    pub payload: Payload,
+}
+
+/// What a target is sent of a job: all of the client's message that is meant for it.
+pub struct Payload {
+    line: RequestLine,
+    headers: Headers,
+    body: Vec<u8>,
+}
+
+/// What a message asks for.
+pub enum Ask {
+    /// Whether the scheduler takes jobs.
+    Up,
+    /// Nothing: it brings a target's news.
+    News,
+    /// A job.
+    Job(Box<Job>),
+    /// Nothing that can be read or is there: the status to answer.
+    Wrong(u16),
+}
+
+/// Where targets tell what becomes of jobs.
+pub const NEWS: &str = "/_jobs/news";
+const UP: &str = "/up";
+/// The header with a client's id for its job.
+pub const TRACE: &str = "X-Trace-Id";
+const EXPIRES: &str = "X-Expires-In";
+/// Headers that concern one connection, and those written anew for each attempt.
+const NOT_PASSED: [&str; 11] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "content-length",
+    EXPIRES,
+];
+
+/// Reads what a client or a target wants.
+pub fn read(message: Message<RequestLine>, site: &Site) -> Ask {
+    let path = message.line.target.split('?').next().unwrap_or("");
+    let post = message.line.method == "POST";
+    match path {
+        UP if message.line.method == "GET" => Ask::Up,
+        NEWS if post => Ask::News,
+        UP | NEWS => Ask::Wrong(405),
+        _ => job(message, site).map_or_else(Ask::Wrong, |job| Ask::Job(Box::new(job))),
+    }
+}
+
+fn job(message: Message<RequestLine>, site: &Site) -> Result<Job, u16> {
+    let Message { line, headers, body, .. } = message;
+    let path = line.target.split('?').next().unwrap_or("");
+    let first = path.trim_start_matches('/').split('/').next().unwrap_or("");
+    let number = |name: &str| site.classes.iter().position(|(n, _)| n == name);
+    let class = number(headers.get("X-Qos").unwrap_or(first)).or_else(|| number(first)).ok_or(404u16)?;
+    if line.method != "POST" {
+        return Err(405);
+    }
+    let trace = headers.get(TRACE).filter(|id| is_id(id)).ok_or(400u16)?.to_string();
+    let wait = match headers.get(EXPIRES) {
+        Some(text) => millis(text, 1.0).ok_or(400u16)?,
+        None => site.classes[class].1,
+    };
+    let hint = headers.get("X-Size-Hint").and_then(|text| millis(text, 1e-3));
+    let slots = headers.get("X-Props").and_then(|props| prop(props, "slots"));
+    Ok(Job {
+        trace,
+        class: class as u16,
+        key: headers.get("X-Object").map_or(0, key),
+        hint: hint.map(postusher_settings::micros),
+        slots: slots.unwrap_or(1.0).clamp(1.0, 65_535.0) as u32,
+        wait,
+        payload: Payload { line, headers, body },
+    })
+}
+
+/// Whether an id can stand in a path as it is. Guards against: an id that makes another request of a withdrawal.
+fn is_id(id: &str) -> bool {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b'~' | b':');
+    (1..=128).contains(&id.len()) && id.bytes().all(plain)
+}
+
+/// A length of time with its unit, `m` for milliseconds or `u` for microseconds, or in the usual unit.
+fn millis(text: &str, usual: f64) -> Option<Millis> {
+    let (number, unit) = match text.as_bytes().last()? {
+        b'm' => (&text[..text.len() - 1], 1.0),
+        b'u' => (&text[..text.len() - 1], 1e-3),
+        _ => (text, usual),
+    };
+    let time = number.trim().parse::<f64>().ok()? * unit;
+    // A day is longer than anyone waits, and keeps sums of times exact.
+    time.is_finite().then(|| time.clamp(0.0, 86_400_000.0))
+}
+
+/// A figure of `name=value,name=value`.
+fn prop(props: &str, name: &str) -> Option<f64> {
+    let named = props.split(',').filter_map(|p| p.split_once('=')).find(|(n, _)| n.trim() == name)?;
+    named.1.trim().parse::<f64>().ok().filter(|v| v.is_finite())
+}
+
+/// A key as a number, the same at every scheduler: what is no hexadecimal number is hashed (FNV-1a).
+fn key(text: &str) -> u64 {
+    u64::from_str_radix(text, 16).unwrap_or_else(|_| fnv(text.as_bytes()))
+}
+
+/// A hash that is the same in every process.
+pub fn fnv(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3))
+}
+
+impl Payload {
+    /// The message for a target that is waited for so long.
+    pub fn request(&self, left: Millis) -> Vec<u8> {
+        let left = format!("{}u", (left.max(0.0) * 1e3) as u64);
+        let passed = |name: &str| !NOT_PASSED.iter().any(|n| n.eq_ignore_ascii_case(name));
+        let own = self.headers.0.iter().filter(|(n, _)| passed(n)).map(|(n, v)| (n.as_str(), v.as_slice()));
+        let headers: Vec<_> = own.chain([(EXPIRES, left.as_bytes())]).collect();
+        http::request(&self.line, &headers, &self.body)
+    }
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+    use crate::config::tests::config;
+    use crate::http::Decoder;
+
+    /// Reads a whole message.
+    pub fn ask(text: &str) -> Ask {
+        let mut decoder = Decoder::new();
+        decoder.feed(text.as_bytes());
+        read(decoder.next().unwrap().unwrap(), &config().site)
+    }
+
+    /// A job from a message, or its status.
+    pub fn job_of(text: &str) -> Result<Job, u16> {
+        match ask(text) {
+            Ask::Job(job) => Ok(*job),
+            Ask::Wrong(status) => Err(status),
+            _ => panic!("neither a job nor wrong"),
+        }
+    }
+
+    #[test]
+    fn a_job_is_read_with_all_its_figures() {
+        let job = job_of(
+            "POST /fund/x?y=1 HTTP/1.1\r\nX-Trace-Id: 9b1f\r\nX-Qos: fund\r\nX-Object: 7f3a9c21e0b4d655\r\n\
+             X-Expires-In: 480m\r\nX-Size-Hint: 2500\r\nX-Props: slots=4,memory=0.5\r\nContent-Length: 2\r\n\r\nab",
+        );
+        let job = job.unwrap();
+        assert_eq!((job.class, job.key, job.hint), (1, 0x7f3a_9c21_e0b4_d655, Some(2_500)));
+        assert_eq!((job.slots, job.wait, job.trace.as_str()), (4, 480.0, "9b1f"));
+        assert_eq!(millis("1500u", 1.0), Some(1.5));
+    }
+
+    #[test]
+    fn what_a_target_gets_is_what_the_client_sent() {
+        let job = job_of(
+            "POST /render/a?b=%20c HTTP/1.1\r\nHost: o.svc\r\nX-Trace-Id: t1\r\nIdempotency-Key: k\r\n\
+             X-Expires-In: 480m\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+        );
+        let sent = String::from_utf8(job.unwrap().payload.request(250.0)).unwrap();
+        let expected =
+            "POST /render/a?b=%20c HTTP/1.1\r\nHost: o.svc\r\nX-Trace-Id: t1\r\nIdempotency-Key: k\r\n\
+             X-Expires-In: 250000u\r\nContent-Length: 2\r\n\r\nab";
+        assert_eq!(sent, expected);
+    }
+
+    #[test]
+    fn what_is_no_job_gets_its_status_and_goes_nowhere() {
+        let cases = [
+            ("POST /nothing HTTP/1.1\r\nX-Trace-Id: a\r\n\r\n", 404),
+            ("GET /render HTTP/1.1\r\n\r\n", 405),
+            ("POST /render HTTP/1.1\r\n\r\n", 400),
+            ("POST /render HTTP/1.1\r\nX-Trace-Id: a/../b\r\n\r\n", 400),
+            ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Expires-In: soon\r\n\r\n", 400),
+            ("DELETE /up HTTP/1.1\r\n\r\n", 405),
+            ("GET /_jobs/news HTTP/1.1\r\n\r\n", 405),
+        ];
+        for (text, status) in cases {
+            assert_eq!(job_of(text).err(), Some(status), "{text}");
+        }
+        assert!(matches!(ask("GET /up HTTP/1.1\r\n\r\n"), Ask::Up));
+        assert!(matches!(ask("POST /_jobs/news HTTP/1.1\r\n\r\n"), Ask::News));
+    }
+}
--- /dev/null
+++ b/node/src/target_group.rs
@@ -0,0 +1,254 @@
+//! Discovery's list of targets, and the watch that keeps it up to date.
+
+use crate::clock::Millis;
+use crate::http::{self, Decoder, Message, Outbox, RequestLine, StatusLine};
+use crate::intake::fnv;
+use postusher::{ListKind, Member, Readiness, WorkerId};
+use postusher_settings::{micros, Site};
+use serde::Deserialize;
+use serde_json::Value;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// For so long discovery may hold a call in which nothing changes.
+const WAIT: Millis = 10_000.0;
+/// An answer that has not come so long after that never will.
+const PATIENCE: Millis = 1_500.0;
+
+/// A list, or changes to one, as discovery tells it.
+#[derive(Debug, Default)]
+pub struct List {
+    version: Option<u64>,
+    full: bool,
+    /// Its entries.
+    pub entries: Vec<Entry>,
+}
+
+/// One target as discovery tells it.
+#[derive(Debug, Deserialize)]
+pub struct Entry {
+    id: String,
+    addr: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    kind: String,
+    #[serde(default)]
+    cell: u16,
+    state: String,
+    #[serde(default = "usual_weight")]
+    weight: f64,
+    #[serde(default)]
+    started_ms: f64,
+}
+
+fn usual_weight() -> f64 {
+    1.0
+}
+
+impl List {
+    /// Reads a list. An entry that cannot be read is left out: the others are still good.
+    pub fn read(json: &Value) -> Result<List, String> {
+        let entries = json.get("servers").and_then(Value::as_array).ok_or("no list of servers")?;
+        let entry = |json: &Value| match Entry::deserialize(json) {
+            Ok(entry) => Some(entry),
+            Err(e) => {
+                log::warn!("discovery: an entry cannot be read: {e}");
+                None
+            }
+        };
+        Ok(List {
+            version: json.get("version").and_then(Value::as_u64),
+            full: json.get("full").and_then(Value::as_bool).unwrap_or(false),
+            entries: entries.iter().filter_map(entry).collect(),
+        })
+    }
+}
+
+/// A target as the scheduler knows it.
+pub struct Target {
+    /// Discovery's name for it.
+    pub name: Rc<str>,
+    /// Where it listens.
+    pub addr: SocketAddr,
+}
+
+/// The targets that the list has named.
+pub struct TargetGroup {
+    targets: HashMap<WorkerId, Target>,
+    version: Option<u64>,
+    zones: Vec<String>,
+    models: Vec<String>,
+}
+
+/// A name's place among those the settings list; one that they lack is no other's.
+fn place(names: &[String], name: &str) -> u16 {
+    names.iter().position(|n| n == name).map_or(u16::MAX, |i| i as u16)
+}
+
+impl TargetGroup {
+    /// No targets.
+    pub fn new(site: &Site) -> Self {
+        let (zones, models) = (site.zones.clone(), site.models.clone());
+        TargetGroup { targets: HashMap::new(), version: None, zones, models }
+    }
+
+    /// A target that the list has named.
+    pub fn get(&self, id: WorkerId) -> Option<&Target> {
+        self.targets.get(&id)
+    }
+
+    /// Takes in a list or changes, for the module: what kind it is, and its lines.
+    pub fn apply(&mut self, list: List) -> (ListKind, Vec<Member>) {
+        self.version = list.version.or(self.version);
+        let members: Vec<Member> = list.entries.into_iter().map(|e| self.member(e)).collect();
+        if list.full {
+            let listed: Vec<WorkerId> = members.iter().map(|m| m.worker).collect();
+            self.targets.retain(|id, _| listed.contains(id));
+        }
+        for gone in members.iter().filter(|m| m.readiness == Readiness::Gone) {
+            self.targets.remove(&gone.worker);
+        }
+        (if list.full { ListKind::Full } else { ListKind::Delta }, members)
+    }
+
+    fn member(&mut self, e: Entry) -> Member {
+        let worker = self.id(&e.id);
+        self.targets.insert(worker, Target { name: e.id.into(), addr: e.addr });
+        Member {
+            worker,
+            readiness: match e.state.as_str() {
+                "up" => Readiness::Ready,
+                "removed" => Readiness::Gone,
+                _ => Readiness::Draining, // a state that is not known wants nothing new
+            },
+            heft: e.weight,
+            up_since: micros(e.started_ms),
+            cell: e.cell,
+            kind: place(&self.models, &e.kind),
+            zone: place(&self.zones, &e.zone),
+        }
+    }
+
+    /// A name's number: by hash, so that all schedulers find the same target for a key; the next where that
+    /// is taken by another name.
+    fn id(&self, name: &str) -> WorkerId {
+        let mut id = WorkerId(fnv(name.as_bytes()) as u32);
+        while self.targets.get(&id).is_some_and(|t| *t.name != *name) {
+            id.0 = id.0.wrapping_add(1);
+        }
+        id
+    }
+
+    /// The next call to discovery, and how long its answer may take: the changes since the version held, or
+    /// the whole list where none is held.
+    pub fn call(&self, host: SocketAddr) -> (Vec<u8>, Millis) {
+        let (target, wait) = match self.version {
+            Some(version) => (format!("/discovery/hosts?after={version}&wait_ms={WAIT}"), WAIT),
+            None => ("/discovery/hosts".to_string(), 0.0),
+        };
+        let line = RequestLine { method: "GET".into(), target };
+        let host = host.to_string();
+        (http::request(&line, &[("Host", host.as_bytes())], b""), wait + PATIENCE)
+    }
+}
+
+/// A connection to discovery, without its socket.
+pub struct Connection {
+    decoder: Decoder<StatusLine>,
+    /// The call on its way.
+    pub outbox: Outbox,
+}
+
+impl Connection {
+    /// A connection with its first call.
+    pub fn new(call: &[u8]) -> Self {
+        let mut new = Connection { decoder: Decoder::new(), outbox: Outbox::default() };
+        new.outbox.put(call);
+        new
+    }
+
+    /// Makes a further call.
+    pub fn call(&mut self, call: &[u8]) {
+        self.outbox.put(call);
+    }
+
+    /// Takes in what was read; gives the list once it is whole, and whether the connection stays.
+    pub fn receive(&mut self, bytes: &[u8]) -> Option<Result<(List, bool), String>> {
+        self.decoder.feed(bytes);
+        let message = self.decoder.next().map_err(|_| "no HTTP".to_string()).transpose()?;
+        Some(message.and_then(read))
+    }
+
+    /// It has ended: a list that goes to the end of the connection is whole now.
+    pub fn end(&mut self) -> Result<(List, bool), String> {
+        self.decoder.end().ok_or("the connection ended".to_string()).and_then(read)
+    }
+}
+
+fn read(message: Message<StatusLine>) -> Result<(List, bool), String> {
+    if message.line.status != 200 {
+        return Err(format!("status {}", message.line.status));
+    }
+    let json: Value = serde_json::from_slice(&message.body).map_err(|e| e.to_string())?;
+    Ok((List::read(&json)?, message.keep_alive))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::tests::config;
+    use serde_json::json;
+
+    fn list(full: bool, servers: Value) -> List {
+        List::read(&json!({"version": 43, "full": full, "servers": servers})).unwrap()
+    }
+
+    fn server(id: &str, state: &str) -> Value {
+        json!({"id": id, "addr": "127.0.0.1:9", "zone": "b", "kind": "k1", "cell": 2, "state": state,
+            "weight": 1.5, "started_ms": 1_700_000_000_123.5})
+    }
+
+    #[test]
+    fn entries_become_members_and_only_listed_targets_have_an_address() {
+        let mut group = TargetGroup::new(&config().site);
+        let (kind, members) =
+            group.apply(list(true, json!([server("s-1", "up"), server("s-2", "draining")])));
+        let m = &members[0];
+        assert_eq!((kind, m.zone, m.kind, m.cell, m.heft), (ListKind::Full, 1, 1, 2, 1.5));
+        assert_eq!((m.readiness, m.up_since), (Readiness::Ready, 1_700_000_000_123_500));
+        assert_eq!(members[1].readiness, Readiness::Draining);
+        let (kind, gone) = group.apply(list(false, json!([server("s-1", "removed")])));
+        assert_eq!((kind, gone[0].readiness, gone[0].worker), (ListKind::Delta, Readiness::Gone, m.worker));
+        assert!(group.get(m.worker).is_none() && group.get(members[1].worker).is_some());
+        group.apply(list(true, json!([])));
+        assert!(group.get(members[1].worker).is_none());
+    }
+
+    #[test]
+    fn a_bad_entry_is_left_out_and_a_bad_list_is_an_error() {
+        assert_eq!(list(true, json!([{"id": "s-1"}, server("s-2", "up")])).entries.len(), 1);
+        assert!(List::read(&json!({"version": 1})).is_err());
+    }
+
+    #[test]
+    fn a_watch_goes_on_from_the_version_held() {
+        let mut group = TargetGroup::new(&config().site);
+        let text = |group: &TargetGroup| String::from_utf8(group.call(([127, 0, 0, 1], 9).into()).0).unwrap();
+        assert!(text(&group).starts_with("GET /discovery/hosts HTTP/1.1\r\n"));
+        group.apply(list(false, json!([])));
+        assert!(text(&group).starts_with("GET /discovery/hosts?after=43&wait_ms=10000 HTTP/1.1\r\n"));
+    }
+
+    #[test]
+    fn an_answer_is_a_list_or_a_failure() {
+        let answer =
+            |status: u16, body: &[u8]| Connection::new(b"").receive(&http::response(status, &[], body, true));
+        let body = json!({"version": 7, "full": false, "servers": []}).to_string();
+        assert!(answer(200, body.as_bytes()).unwrap().is_ok_and(|(l, keep)| l.version == Some(7) && keep));
+        assert!(answer(503, b"").unwrap().is_err() && answer(200, b"{").unwrap().is_err());
+        assert!(Connection::new(b"").receive(b"HTTP/1.1 200 OK\r\nContent-Le").is_none());
+        assert!(Connection::new(b"").end().is_err());
+    }
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -13,6 +13,8 @@
     #[serde(default)]
     objective_mix: ObjectiveMix,
     #[serde(default)]
+    models: Vec<String>,
+    #[serde(default)]
     my_zone: u16,
     permissions: Permissions,
     #[serde(default)]
@@ -27,12 +29,32 @@
     specifics: Specifics,
     #[serde(default)]
     worth_by: String,
+    #[serde(default)]
+    zones: Vec<String>,
+}
+
+/// The settings of a site with the names that its messages use.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// What a dispatcher is told.
+    pub settings: Settings,
+    /// The classes' names and the time their clients wait at most, in milliseconds, by number.
+    pub classes: Vec<(String, f64)>,
+    /// The zones' names, by number.
+    pub zones: Vec<String>,
+    /// The machine kinds' names, by number.
+    pub models: Vec<String>,
+    /// The values of a load report, in order.
+    pub report: Vec<String>,
+    /// A connection that is not up within this many milliseconds has failed.
+    pub connect_timeout_ms: f64,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
 struct Permissions {
     cancel: bool,
+    connect_timeout_ms: f64,
     keepalive_ms: f64,
     max_attempts: u64,
     max_retry_after_ms: f64,
@@ -45,6 +67,7 @@
     fn default() -> Self {
         Permissions {
             cancel: false,
+            connect_timeout_ms: 1_000.0,
             keepalive_ms: 0.0,
             max_attempts: 1,
             max_retry_after_ms: 0.0,
@@ -103,6 +126,8 @@
     goal_time_ms: f64,
     #[serde(default)]
     group: String,
+    #[serde(default = "no_limit")]
+    hard_limit_ms: f64,
     #[serde(default)]
     keep_order: bool,
     #[serde(default)]
@@ -110,6 +135,8 @@
     #[serde(default)]
     models_only: Option<Vec<u16>>,
     #[serde(default)]
+    name: String,
+    #[serde(default)]
     zones_open: Option<Vec<u16>>,
     #[serde(default)]
     window_ms: f64,
@@ -133,6 +160,10 @@
     1.0
 }
 
+fn no_limit() -> f64 {
+    60_000.0
+}
+
 fn one_sibling() -> u32 {
     1
 }
@@ -175,12 +206,21 @@
 
 /// The settings, or what is wrong with them.
 pub fn parse(json: &[u8]) -> Result<Settings, String> {
-    let p: Profile = serde_json::from_slice(json).map_err(|e| format!("settings: {e}"))?;
+    let profile = serde_json::from_slice(json).map_err(|e| format!("settings: {e}"))?;
+    Ok(site(profile)?.settings)
+}
+
+/// The settings and names of a site from JSON that has been read, or what is wrong with them.
+pub fn read(json: &serde_json::Value) -> Result<Site, String> {
+    site(Profile::deserialize(json).map_err(|e| format!("settings: {e}"))?)
+}
+
+fn site(p: Profile) -> Result<Site, String> {
     let stretch = |i: usize| p.specifics.class_stretch.get(i).copied();
     let classes = p.services.iter().enumerate().map(|(i, s)| class(s, stretch(i)));
     let sourced = p.report.source != "off";
     let fields = p.report.fields.iter().filter(|_| sourced).map(|n| field(n, &p.specifics.report_x0));
-    Ok(Settings {
+    let settings = Settings {
         classes: classes.collect::<Result<_, _>>().map_err(|e| format!("settings: {e}"))?,
         worth_by_work: p.worth_by == "work",
         siblings: p.siblings,
@@ -208,6 +248,14 @@
         fetch_price: p.prices.origin,
         punctual: p.objective_mix.punctual,
         borne_misses: p.objective_mix.borne_misses,
+    };
+    Ok(Site {
+        settings,
+        classes: p.services.into_iter().map(|s| (s.name, s.hard_limit_ms)).collect(),
+        zones: p.zones,
+        models: p.models,
+        report: if sourced { p.report.fields } else { Vec::new() },
+        connect_timeout_ms: p.permissions.connect_timeout_ms,
     })
 }
 
@@ -259,6 +307,19 @@
         assert!(parse(odd).unwrap_err().starts_with("settings: "), "a bound that cannot be read is no bound");
     }
 
+    #[test]
+    fn a_site_has_the_names_that_messages_use() {
+        let json = serde_json::json!({"Zones": ["lowell"], "Models": ["fast-5", "slow-5"],
+            "Permissions": {"ConnectTimeoutMs": 70}, "Report": {"Fields": ["tps", "x0"], "Source": "inline"},
+            "Rules": {"ColdFrom": 1, "FallMs": 1, "OverloadFactor": 3, "WarmAfterMs": 1},
+            "Services": [{"Effect": "once", "GoalTimeMs": 1, "Name": "quote", "HardLimitMs": 5000}]});
+        let site = read(&json).unwrap();
+        assert_eq!(site.classes, vec![("quote".to_string(), 5_000.0)]);
+        assert_eq!((site.zones.len(), site.models.len(), site.connect_timeout_ms), (1, 2, 70.0));
+        assert_eq!(site.report, vec!["tps", "x0"]);
+        assert!(read(&serde_json::json!([])).unwrap_err().starts_with("settings: "));
+    }
+
     #[test]
     fn what_cannot_be_read_is_named() {
         assert!(parse(b"{").unwrap_err().starts_with("settings: "));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,6 +44,16 @@
         Dispatcher { retries: Budget(RETRIES_KEPT), ..new.with(settings) }
     }
 
+    /// Takes all that a host has gathered at time `now`, in order, and appends what is to be done.
+    pub fn handle_all(
+        &mut self,
+        events: impl IntoIterator<Item = Event>,
+        now: Micros,
+        out: &mut Vec<Action>,
+    ) {
+        events.into_iter().for_each(|event| self.handle(event, now, out));
+    }
+
     /// Takes one event at time `now` and appends what is to be done.
     pub fn handle(&mut self, event: Event, now: Micros, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
