Check connections and requests against models; bound answers that nobody reads

By reading: a client that asks for /up again and again and reads nothing would have had its answers pile up (requests() handed on whatever the outbox held); '/_jobs/news?x' was left without answer; idle connections to a target that moved stayed in the pool.

Done: listener::Connection::lags, Ask::News with its body, Applied::stale. node/src/model.rs checks the listener's and the forward's states, the reader and a request's whole way against models with random steps and a fixed seed; node/tests/serve.rs plays client, target and discovery against the program, SIGTERM included.

Ruled out by the model: second answers, attempts that settle twice or never, wrong ways of giving up.

--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -244,6 +244,12 @@
         self.requests.values().filter(|r| !r.answered).count()
     }
 
+    /// How many requests are kept in mind.
+    #[cfg(test)]
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
     /// Hands the module all that was gathered and turns what it wants into deeds.
     pub fn decide(&mut self, group: &TargetGroup, now: Millis) -> Vec<Deed> {
         let mut actions = Vec::new();
--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -11,7 +11,7 @@
 use crate::invariant::{self, holds, Invariant};
 use crate::listener::{self, State};
 use crate::news::News;
-use crate::target_group::{self, List, TargetGroup};
+use crate::target_group::{self, Applied, List, TargetGroup};
 use mio::net::{TcpListener, TcpStream, UnixStream};
 use mio::{Events, Interest, Poll, Token};
 use postusher::{JobId, ListKind, WorkerId};
@@ -50,6 +50,14 @@
     serial: u64,
 }
 
+#[cfg(test)]
+impl Key {
+    /// A key where there are no sockets.
+    pub fn test(serial: u64) -> Key {
+        Key { slot: 0, serial }
+    }
+}
+
 enum Role {
     /// A client's connection, or one that a target brings news on; the request at hand.
     Listener(listener::Connection, Option<JobId>),
@@ -126,7 +134,7 @@
         let site = Rc::new(config.site);
         let mut dispatch = Dispatch::new(site.clone(), config.seed, now);
         let mut group = TargetGroup::new(&site);
-        let (_, members) = group.apply(config.known);
+        let members = group.apply(config.known).members;
         log::info!(
             "{}: listening on {}, {} targets known",
             config.name,
@@ -237,7 +245,7 @@
             }
             Deed::Abandon(job, leg) => {
                 if let Some(key) = self.pool.attempts.remove(&(job, leg)) {
-                    self.abandon(key, now);
+                    self.abandon(key);
                 }
             }
             Deed::Withdraw { target, trace } => {
@@ -376,18 +384,18 @@
     /// Reads and writes all that a connection can.
     fn drive(&mut self, key: Key) {
         loop {
+            self.flush(key);
+            // A request may lie in the buffer for which an answer has now made room.
+            self.requests(key, self.clock.now());
             let end = self.read(key);
             self.flush(key);
             match end {
                 ReadEnd::Dry => return,
                 ReadEnd::Ended => return self.broken(key),
                 ReadEnd::Full => {
-                    // Goes on once an answer has made room.
-                    let full = self
-                        .socket(key)
-                        .is_some_and(|s| matches!(&s.role, Role::Listener(c, _) if !c.wants_more()));
-                    if full || self.socket(key).is_none() {
-                        return;
+                    let full = |s: &Socket| matches!(&s.role, Role::Listener(c, _) if !c.wants_more());
+                    if self.socket(key).is_none_or(|s| full(s)) {
+                        return; // goes on with the next answer, or once the client has read some
                     }
                 }
             }
@@ -417,6 +425,7 @@
 
     fn received(&mut self, key: Key, bytes: &[u8]) {
         let now = self.clock.now();
+        log::trace!("{key:?} brought {:?}", String::from_utf8_lossy(bytes));
         let Some(socket) = self.socket(key) else { return };
         match &mut socket.role {
             Role::Listener(c, _) => {
@@ -576,16 +585,6 @@
                     continue;
                 }
             };
-            if message.line.target == intake::NEWS && message.line.method == "POST" {
-                c.brings_news = true;
-                let news = News::read(&message.body, &self.site);
-                let status = if news.is_some() { 200 } else { 400 };
-                if let Some(news) = news {
-                    self.dispatch.news(news, now);
-                }
-                self.reply(key, now, true, |keep| http::response(status, &[], b"", keep));
-                continue;
-            }
             match intake::read(message, &self.site) {
                 Ask::Up => {
                     let status = if self.drain.is_on() { 503 } else { 200 };
@@ -604,7 +603,17 @@
                     let headers: &[_] = if status == 405 { &allow } else { &[] };
                     self.reply(key, now, false, |keep| http::response(status, headers, b"", keep));
                 }
-                Ask::News => {}
+                Ask::News(body) => {
+                    let news = News::read(&body, &self.site);
+                    let status = if news.is_some() { 200 } else { 400 };
+                    if let Some(news) = news {
+                        self.dispatch.news(news, now);
+                    }
+                    if let Some(Socket { role: Role::Listener(c, _), .. }) = self.socket(key) {
+                        c.brings_news = true;
+                    }
+                    self.reply(key, now, true, |keep| http::response(status, &[], b"", keep));
+                }
             }
         }
     }
@@ -620,9 +629,6 @@
     fn answer(&mut self, client: Key, answer: &Answer, now: Millis) {
         let keep = !self.drain.is_on();
         self.reply(client, now, keep, |keep| answer.bytes(keep));
-        self.flush(client);
-        // A further request may lie in the buffer, or in the socket if the buffer was full.
-        self.requests(client, now);
         self.drive(client);
     }
 
@@ -683,7 +689,7 @@
         }
     }
 
-    fn abandon(&mut self, key: Key, _now: Millis) {
+    fn abandon(&mut self, key: Key) {
         if let Some(Socket { role: Role::Forward(c), .. }) = self.socket(key) {
             c.give_up();
             self.rest(key);
@@ -730,7 +736,10 @@
                 return self.watch_failed(&why);
             }
         };
-        let (kind, members) = self.group.apply(list);
+        let Applied { kind, members, stale } = self.group.apply(list);
+        for target in stale {
+            self.pool.take_all(target).into_iter().for_each(|key| self.close(key));
+        }
         self.dispatch.members(kind, members);
         // A watch goes on only if the next call comes at once.
         if !keep {
--- a/node/src/intake.rs
+++ b/node/src/intake.rs
@@ -35,8 +35,8 @@
 pub enum Ask {
     /// Whether the scheduler takes jobs.
     Up,
-    /// Nothing: it brings a target's news.
-    News,
+    /// Nothing: it brings a target's news, in this body.
+    News(Vec<u8>),
     /// A job.
     Job(Box<Job>),
     /// Nothing that can be read or is there: the status to answer.
@@ -44,10 +44,10 @@
 }
 
 /// Where targets tell what becomes of jobs.
-pub const NEWS: &str = "/_jobs/news";
+const NEWS: &str = "/_jobs/news";
 const UP: &str = "/up";
 /// The header with a client's id for its job.
-pub const TRACE: &str = "X-Trace-Id";
+const TRACE: &str = "X-Trace-Id";
 const EXPIRES: &str = "X-Expires-In";
 /// Headers that concern one connection, and those written anew for each attempt.
 const NOT_PASSED: [&str; 11] = [
@@ -70,7 +70,7 @@
     let post = message.line.method == "POST";
     match path {
         UP if message.line.method == "GET" => Ask::Up,
-        NEWS if post => Ask::News,
+        NEWS if post => Ask::News(message.body),
         UP | NEWS => Ask::Wrong(405),
         _ => job(message, site).map_or_else(Ask::Wrong, |job| Ask::Job(Box::new(job))),
     }
@@ -210,6 +210,7 @@
             assert_eq!(job_of(text).err(), Some(status), "{text}");
         }
         assert!(matches!(ask("GET /up HTTP/1.1\r\n\r\n"), Ask::Up));
-        assert!(matches!(ask("POST /_jobs/news HTTP/1.1\r\n\r\n"), Ask::News));
+        assert!(matches!(ask("POST /_jobs/news HTTP/1.1\r\n\r\n"), Ask::News(_)));
+        assert!(matches!(ask("POST /_jobs/news?again=1 HTTP/1.1\r\n\r\n"), Ask::News(_)));
     }
 }
--- a/node/src/listener.rs
+++ b/node/src/listener.rs
@@ -2,7 +2,7 @@
 //! Targets bring their news over such connections too.
 
 use crate::clock::Millis;
-use crate::http::{Decoder, Fault, Message, Outbox, RequestLine};
+use crate::http::{Decoder, Fault, Message, Outbox, RequestLine, MAX_BODY};
 
 /// How far a connection is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,14 +55,19 @@
         }
     }
 
-    /// Whether to read on. Guards against: a client that sends request after request and reads no answer.
+    /// Whether to read on. Guards against: a client that sends request after request and reads no answer,
+    /// for which requests or answers would fill the memory.
     pub fn wants_more(&self) -> bool {
-        self.state == State::Last || !self.decoder.is_full()
+        self.state == State::Last || !self.decoder.is_full() && !self.lags()
+    }
+
+    fn lags(&self) -> bool {
+        self.outbox.unsent().len() > MAX_BODY
     }
 
     /// The next request, if one has come whole and the one before it has its answer.
     pub fn next(&mut self) -> Option<Result<Message<RequestLine>, Fault>> {
-        if self.state != State::Open {
+        if self.state != State::Open || self.lags() {
             return None;
         }
         let next = self.decoder.next().transpose();
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -13,6 +13,8 @@
 mod intake;
 mod invariant;
 mod listener;
+#[cfg(test)]
+mod model;
 mod news;
 mod target_group;
 
--- a/node/src/target_group.rs
+++ b/node/src/target_group.rs
@@ -82,6 +82,16 @@
     models: Vec<String>,
 }
 
+/// What a list has changed.
+pub struct Applied {
+    /// Whether it was a whole list.
+    pub kind: ListKind,
+    /// Its lines, for the module.
+    pub members: Vec<Member>,
+    /// Targets that are gone or have another address: connections to them are of no more use.
+    pub stale: Vec<WorkerId>,
+}
+
 /// A name's place among those the settings list; one that they lack is no other's.
 fn place(names: &[String], name: &str) -> u16 {
     names.iter().position(|n| n == name).map_or(u16::MAX, |i| i as u16)
@@ -99,9 +109,10 @@
         self.targets.get(&id)
     }
 
-    /// Takes in a list or changes, for the module: what kind it is, and its lines.
-    pub fn apply(&mut self, list: List) -> (ListKind, Vec<Member>) {
+    /// Takes in a list or changes.
+    pub fn apply(&mut self, list: List) -> Applied {
         self.version = list.version.or(self.version);
+        let before: Vec<(WorkerId, SocketAddr)> = self.targets.iter().map(|(id, t)| (*id, t.addr)).collect();
         let members: Vec<Member> = list.entries.into_iter().map(|e| self.member(e)).collect();
         if list.full {
             let listed: Vec<WorkerId> = members.iter().map(|m| m.worker).collect();
@@ -110,7 +121,10 @@
         for gone in members.iter().filter(|m| m.readiness == Readiness::Gone) {
             self.targets.remove(&gone.worker);
         }
-        (if list.full { ListKind::Full } else { ListKind::Delta }, members)
+        // Guards against: a job sent to where its target no longer is, over a connection from before.
+        let there = |id: &WorkerId, addr| self.targets.get(id).is_some_and(|t| t.addr == addr);
+        let stale = before.into_iter().filter(|(id, addr)| !there(id, *addr)).map(|(id, _)| id).collect();
+        Applied { kind: if list.full { ListKind::Full } else { ListKind::Delta }, members, stale }
     }
 
     fn member(&mut self, e: Entry) -> Member {
@@ -213,15 +227,21 @@
     #[test]
     fn entries_become_members_and_only_listed_targets_have_an_address() {
         let mut group = TargetGroup::new(&config().site);
-        let (kind, members) =
+        let Applied { kind, members, stale } =
             group.apply(list(true, json!([server("s-1", "up"), server("s-2", "draining")])));
         let m = &members[0];
+        assert!(stale.is_empty());
         assert_eq!((kind, m.zone, m.kind, m.cell, m.heft), (ListKind::Full, 1, 1, 2, 1.5));
         assert_eq!((m.readiness, m.up_since), (Readiness::Ready, 1_700_000_000_123_500));
         assert_eq!(members[1].readiness, Readiness::Draining);
-        let (kind, gone) = group.apply(list(false, json!([server("s-1", "removed")])));
+        let Applied { kind, members: gone, stale } =
+            group.apply(list(false, json!([server("s-1", "removed")])));
+        assert_eq!(stale, vec![m.worker]);
         assert_eq!((kind, gone[0].readiness, gone[0].worker), (ListKind::Delta, Readiness::Gone, m.worker));
         assert!(group.get(m.worker).is_none() && group.get(members[1].worker).is_some());
+        let mut moved = server("s-2", "up");
+        moved["addr"] = json!("127.0.0.2:9");
+        assert_eq!(group.apply(list(false, json!([moved]))).stale, vec![members[1].worker]);
         group.apply(list(true, json!([])));
         assert!(group.get(members[1].worker).is_none());
     }
--- /dev/null
+++ b/node/tests/serve.rs
@@ -0,0 +1,220 @@
+//! The program as a whole, on loopback: a client, one target and discovery are played by hand.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::time::Duration;
+
+/// Far longer than anything takes here: a test that waits so long hangs.
+const HANG: Duration = Duration::from_secs(30);
+
+struct Scheduler {
+    process: Child,
+    log: BufReader<ChildStderr>,
+    addr: SocketAddr,
+    target: TcpListener,
+    discovery: TcpListener,
+}
+
+fn config(name: &str, discovery: SocketAddr, target: SocketAddr) -> PathBuf {
+    let text = format!(
+        r#"{{"name": "n0", "listen": "127.0.0.1:0", "discovery": "{discovery}", "seed": "8c1f30d27a5be964",
+        "limits": {{"cores": 1.0, "memory_mb": 192, "sockets": 64}},
+        "known": {{"version": 41, "full": true, "servers": [{{"id": "s-1", "addr": "{target}", "zone": "a",
+            "kind": "k", "cell": 0, "state": "up", "weight": 1.0, "started_ms": 0}}]}},
+        "settings": {{"Discovery": "ask", "Zones": ["a"], "Models": ["k"],
+            "Permissions": {{"Cancel": true, "ConnectTimeoutMs": 5000, "KeepaliveMs": 60000, "MaxAttempts": 2}},
+            "Rules": {{"ColdFrom": 1, "FallMs": 1, "OverloadFactor": 3, "WarmAfterMs": 1}},
+            "Services": [{{"Name": "render", "Effect": "repeatable", "GoalTimeMs": 400, "HardLimitMs": 60000}}]}}}}"#
+    );
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+impl Scheduler {
+    fn start(name: &str) -> Scheduler {
+        let target = TcpListener::bind("127.0.0.1:0").unwrap();
+        let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+        let config = config(name, discovery.local_addr().unwrap(), target.local_addr().unwrap());
+        let mut command = Command::new(env!("CARGO_BIN_EXE_postusher"));
+        let command = command.arg("serve").arg("--config").arg(config).env_remove("RUST_LOG");
+        let mut process = command.stderr(Stdio::piped()).spawn().unwrap();
+        let mut log = BufReader::new(process.stderr.take().unwrap());
+        let mut line = String::new();
+        log.read_line(&mut line).unwrap();
+        let addr = line.split("listening on ").nth(1).and_then(|l| l.split(',').next()).expect(&line);
+        Scheduler { addr: addr.parse().unwrap(), process, log, target, discovery }
+    }
+
+    fn connect(&self) -> Peer {
+        Peer::new(TcpStream::connect(self.addr).unwrap())
+    }
+
+    fn news(&self, text: &str) {
+        let mut peer = self.connect();
+        peer.send(&format!("POST /_jobs/news HTTP/1.1\r\nContent-Length: {}\r\n\r\n{text}", text.len()));
+        assert_eq!(peer.message().0, "HTTP/1.1 200 OK");
+    }
+
+    /// Sends SIGTERM to the process that this test has started.
+    fn terminate(&self) {
+        let id = self.process.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    }
+}
+
+impl Drop for Scheduler {
+    fn drop(&mut self) {
+        let _ = self.process.kill(); // it has ended already, where the test went well
+        let _ = self.process.wait();
+    }
+}
+
+/// The other end of one of the scheduler's connections.
+struct Peer(BufReader<TcpStream>);
+
+impl Peer {
+    fn new(stream: TcpStream) -> Peer {
+        stream.set_read_timeout(Some(HANG)).unwrap();
+        Peer(BufReader::new(stream))
+    }
+
+    fn send(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    fn job(&mut self, id: &str) {
+        self.send(&format!(
+            "POST /render/x?y=1 HTTP/1.1\r\nX-Trace-Id: {id}\r\nX-Qos: render\r\nContent-Length: 2\r\n\r\nab"
+        ));
+    }
+
+    /// The next message: its first line, its head and its body.
+    fn message(&mut self) -> (String, String, String) {
+        let (mut head, mut length) = (String::new(), 0);
+        loop {
+            let mut line = String::new();
+            assert!(self.0.read_line(&mut line).unwrap() > 0, "the connection ended after {head:?}");
+            if let Some(n) = line.strip_prefix("Content-Length: ") {
+                length = n.trim().parse().unwrap();
+            }
+            if line == "\r\n" {
+                break;
+            }
+            head += &line;
+        }
+        let mut body = vec![0; length];
+        self.0.read_exact(&mut body).unwrap();
+        (head.lines().next().unwrap().into(), head, String::from_utf8(body).unwrap())
+    }
+
+    fn ends(&mut self) -> bool {
+        self.0.read(&mut [0]).unwrap() == 0
+    }
+}
+
+#[test]
+fn a_job_is_forwarded_and_its_result_served_and_connections_are_used_again() {
+    let s = Scheduler::start("served");
+    let (mut client, mut target) = (s.connect(), None);
+    for id in ["t1", "t2"] {
+        client.job(id);
+        let target = target.get_or_insert_with(|| Peer::new(s.target.accept().unwrap().0));
+        let (line, head, body) = target.message();
+        assert_eq!((line.as_str(), body.as_str()), ("POST /render/x?y=1 HTTP/1.1", "ab"));
+        assert!(head.contains(&format!("X-Trace-Id: {id}\r\n")) && head.contains("X-Expires-In: "));
+        target.send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+        let done = format!(r#"{{"id":"{id}","from":"s-1","state":"done","result":"made for {id}"}}"#);
+        s.news(&done);
+        let (line, _, body) = client.message();
+        assert_eq!((line.as_str(), body), ("HTTP/1.1 200 OK", format!("made for {id}")));
+        s.news(&done); // late and repeated: answered and dropped
+    }
+}
+
+#[test]
+fn a_client_that_leaves_has_its_job_withdrawn() {
+    let s = Scheduler::start("withdrawn");
+    let mut client = s.connect();
+    client.job("t1");
+    let mut target = Peer::new(s.target.accept().unwrap().0);
+    target.message();
+    target.send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    s.news(r#"{"id":"t1","from":"s-1","state":"running","share":0.1}"#);
+    drop(client);
+    assert_eq!(target.message().0, "DELETE /jobs/t1 HTTP/1.1");
+}
+
+#[test]
+fn a_target_that_refuses_connections_leads_to_a_refusal_and_bad_input_to_its_status() {
+    let mut s = Scheduler::start("refused");
+    s.target = TcpListener::bind("127.0.0.1:0").unwrap(); // the one of the list is closed now
+    let mut client = s.connect();
+    client.job("t1");
+    assert_eq!(client.message().0, "HTTP/1.1 503 Service Unavailable");
+    let cases = [
+        ("POST /render HTTP/1.1\r\nX-Trace-Id: t2\r\nContent-Length: 99999\r\n\r\n", "413"),
+        ("POST /other HTTP/1.1\r\nX-Trace-Id: t2\r\n\r\n", "404"),
+        ("nonsense\r\n\r\n", "400"),
+    ];
+    for (text, status) in cases {
+        let mut client = s.connect();
+        client.send(text);
+        assert_eq!(client.message().0.split(' ').nth(1), Some(status));
+        assert!(client.ends());
+    }
+}
+
+#[test]
+fn a_watch_goes_on_and_a_broken_one_begins_again() {
+    let s = Scheduler::start("watch");
+    let mut discovery = Peer::new(s.discovery.accept().unwrap().0);
+    assert!(discovery.message().0.contains("after=41&"));
+    let body = r#"{"version":42,"full":false,"servers":[]}"#;
+    discovery.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    assert!(discovery.message().0.contains("after=42&"));
+    drop(discovery);
+    assert!(Peer::new(s.discovery.accept().unwrap().0).message().0.contains("after=42&"));
+}
+
+#[test]
+fn sigterm_lets_work_end_before_the_program_does() {
+    let mut s = Scheduler::start("drained");
+    let (mut client, mut up) = (s.connect(), s.connect());
+    up.send("GET /up HTTP/1.1\r\n\r\n");
+    assert_eq!(up.message().0, "HTTP/1.1 200 OK");
+    client.job("t1");
+    let mut target = Peer::new(s.target.accept().unwrap().0);
+    target.message();
+    target.send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    s.terminate();
+    let mut line = String::new();
+    while !line.contains("SIGTERM: 1 request") {
+        line.clear();
+        assert!(s.log.read_line(&mut line).unwrap() > 0, "the log ended");
+    }
+    up.send("GET /up HTTP/1.1\r\n\r\n");
+    assert_eq!(up.message().0, "HTTP/1.1 503 Service Unavailable");
+    assert!(up.ends());
+    s.news(r#"{"id":"t1","from":"s-1","state":"done","result":"r"}"#);
+    let (line, head, body) = client.message();
+    assert_eq!((line.as_str(), body.as_str()), ("HTTP/1.1 200 OK", "r"));
+    assert!(head.contains("Connection: close\r\n") && client.ends());
+    assert!(s.process.wait().unwrap().success());
+}
+
+#[test]
+fn a_bad_configuration_is_one_line_and_a_failure() {
+    let run = |args: &[&str]| Command::new(env!("CARGO_BIN_EXE_postusher")).args(args).output().unwrap();
+    for command in ["serve", "check-config"] {
+        let output = run(&[command, "--config", "no/such/file"]);
+        let error = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success() && error.lines().count() == 1, "{error}");
+        assert!(error.contains("no/such/file"));
+    }
+    let good = config("good", ([127, 0, 0, 1], 1).into(), ([127, 0, 0, 1], 2).into());
+    assert!(run(&["check-config", "--config", good.to_str().unwrap()]).status.success());
+    assert!(String::from_utf8(run(&["version"]).stdout).unwrap().starts_with("postusher "));
+}
