Budget descriptors by use, and never close a connection on its first request

Cause: one count for all connections (open/accept: 'sockets.len() >= most_sockets'): clients waiting for results took the last descriptors, and the news with the results could not come in; a batch of jobs could also fill the table with forwards.

Done: listeners and forwards have budgets of their own; of the listeners' some are left to news, and a job beyond them fails (502, no refusal); a new connection is left alone for 1 s, and no connection is closed while something lies unread in its socket. Ruled out: memory (32 MB were allowed).

--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -76,6 +76,8 @@
     pub left: u64,
     /// Attempts begun.
     pub forwards: u64,
+    /// Times that something was put off or failed for want of a descriptor.
+    pub short: u64,
 }
 
 /// The module with all that it is told and all that it wants.
--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -24,8 +24,15 @@
 
 const LISTENER: Token = Token(usize::MAX);
 const SIGNAL: Token = Token(usize::MAX - 1);
-/// Descriptors that are no connections: standard streams, poll, listener, signals, and room for what libraries open.
-const OWN_DESCRIPTORS: usize = 24;
+/// Descriptors beside the connections of clients and targets: standard streams, poll, listener, signals, discovery,
+/// and room for what libraries open.
+const OWN_DESCRIPTORS: usize = 13;
+/// One in so many of the others is for connections to targets.
+const FORWARDS_ONE_IN: usize = 4;
+/// So many of the rest are left to targets' news, or a quarter where there are few.
+const FOR_NEWS: usize = 16;
+/// Between two lines of the log on a shortage of descriptors.
+const SHORT_EVERY: Millis = 10_000.0;
 /// The loop looks around at least this often.
 const LONGEST_SLEEP: Millis = 1_000.0;
 /// After a failed accept the listener rests so long.
@@ -98,7 +105,12 @@
     signal: UnixStream,
     sockets: Slab<Socket>,
     serial: u64,
-    most_sockets: usize,
+    /// Connections that others opened, and how many there may be.
+    listeners: usize,
+    most_listeners: usize,
+    /// Connections to targets, likewise.
+    forwards: usize,
+    most_forwards: usize,
     dispatch: Dispatch,
     group: TargetGroup,
     watch: Option<Key>,
@@ -106,6 +118,8 @@
     timers: Timers<Key>,
     drain: Drain,
     counters_at: Millis,
+    /// When to say again that descriptors are short.
+    short_at: Millis,
     scratch: Vec<u8>,
 }
 
@@ -131,6 +145,7 @@
         let to_signal: std::os::fd::OwnedFd = to_signal.into();
         signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, to_signal)?;
         poll.registry().register(&mut signal, SIGNAL, Interest::READABLE)?;
+        let connections = config.sockets - OWN_DESCRIPTORS;
         let site = Rc::new(config.site);
         let mut dispatch = Dispatch::new(site.clone(), config.seed, now);
         let mut group = TargetGroup::new(&site);
@@ -152,7 +167,10 @@
             signal,
             sockets: Slab::new(),
             serial: 0,
-            most_sockets: config.sockets - OWN_DESCRIPTORS,
+            listeners: 0,
+            most_listeners: connections - connections / FORWARDS_ONE_IN,
+            forwards: 0,
+            most_forwards: connections / FORWARDS_ONE_IN,
             dispatch,
             group,
             watch: None,
@@ -160,6 +178,7 @@
             timers: Timers::new(),
             drain: Drain::default(),
             counters_at: now + COUNTERS_EVERY,
+            short_at: now,
             scratch: vec![0; 64 * 1024],
         })
     }
@@ -214,7 +233,7 @@
         }
         self.dispatch.due(now);
         if self.drain.closes_at().is_some_and(|at| now >= at) {
-            self.close_idle_listeners();
+            self.close_idle_listeners(now);
         }
         if now >= self.counters_at {
             self.log_counters("so far");
@@ -282,6 +301,11 @@
         let key = Key { slot: entry.key(), serial: self.serial };
         let interest = Interest::READABLE | Interest::WRITABLE;
         self.poll.registry().register(&mut stream, Token(key.slot), interest)?;
+        match role {
+            Role::Listener(..) => self.listeners += 1,
+            Role::Forward(_) => self.forwards += 1,
+            Role::Discovery(_) => {}
+        }
         entry.insert(Socket { stream, key, role, connecting, deadline });
         self.set_deadline(key, deadline);
         Ok(key)
@@ -308,7 +332,11 @@
         let mut socket = self.sockets.remove(key.slot);
         let _ = self.poll.registry().deregister(&mut socket.stream);
         match socket.role {
-            Role::Forward(c) => self.pool.remove(c.target, key),
+            Role::Listener(..) => self.listeners -= 1,
+            Role::Forward(c) => {
+                self.forwards -= 1;
+                self.pool.remove(c.target, key);
+            }
             Role::Discovery(_) if self.watch == Some(key) => self.watch = None,
             _ => {}
         }
@@ -316,7 +344,8 @@
 
     /// Opens a connection, if there is a descriptor for it.
     fn open(&mut self, addr: SocketAddr, role: Role, deadline: Millis) -> io::Result<Key> {
-        if self.sockets.len() >= self.most_sockets && !self.free_one() {
+        let full = matches!(role, Role::Forward(_)) && self.forwards >= self.most_forwards;
+        if full && self.pool.any().map(|idle| self.close(idle)).is_none() {
             return Err(ErrorKind::QuotaExceeded.into());
         }
         let stream = TcpStream::connect(addr)?;
@@ -324,26 +353,54 @@
         self.add(stream, role, true, deadline)
     }
 
-    /// Closes one connection that stands idle: a client's first, then a target's.
-    fn free_one(&mut self) -> bool {
-        let idle = self.idle_listener().or_else(|| self.pool.any());
-        idle.map(|key| self.close(key)).is_some()
+    /// Closes a client's connection that is of little use: one that has had its last answer, else one that
+    /// stands idle.
+    fn free_listener(&mut self) -> bool {
+        let over = |s: &Socket| matches!(&s.role, Role::Listener(c, _) if c.shut);
+        let over = self.sockets.iter().find(|(_, s)| over(s)).map(|(_, s)| s.key);
+        over.or_else(|| self.idle_listener()).map(|key| self.close(key)).is_some()
+    }
+
+    /// Whether a further job would take a descriptor that news need. Guards against: clients that wait on all
+    /// descriptors for results that no target can bring any more.
+    fn is_full(&mut self) -> bool {
+        self.listeners > self.most_listeners - FOR_NEWS.min(self.most_listeners / 4) && !self.free_listener()
+    }
+
+    fn short(&mut self, now: Millis) {
+        self.dispatch.counts.short += 1;
+        if now >= self.short_at {
+            self.short_at = now + SHORT_EVERY;
+            let (listeners, forwards) = (self.listeners, self.forwards);
+            log::warn!("descriptors are short: {listeners} connections from outside, {forwards} to targets");
+        }
     }
 
     /// The client's connection that has been idle for longest; targets' news connections only where no other is.
     fn idle_listener(&self) -> Option<Key> {
+        let now = self.clock.now();
         let idle = self.sockets.iter().filter_map(|(_, s)| match &s.role {
-            Role::Listener(c, _) if c.is_idle() => Some((c.brings_news, c.used, s.key)),
+            Role::Listener(c, _) if c.may_close(now) => Some((c.brings_news, c.used, s.key)),
             _ => None,
         });
-        idle.min_by(|a, b| (a.0, a.1).partial_cmp(&(b.0, b.1)).unwrap_or(std::cmp::Ordering::Equal))
-            .map(|i| i.2)
+        let mut idle: Vec<_> = idle.collect();
+        idle.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        idle.into_iter().map(|i| i.2).find(|key| self.is_silent(*key))
     }
 
-    fn close_idle_listeners(&mut self) {
-        let idle = |s: &Socket| matches!(&s.role, Role::Listener(c, _) if c.is_idle() && !c.brings_news);
+    fn close_idle_listeners(&mut self, now: Millis) {
+        let idle = |s: &Socket| matches!(&s.role, Role::Listener(c, _) if c.may_close(now) && !c.brings_news);
         let idle: Vec<Key> = self.sockets.iter().filter(|(_, s)| idle(s)).map(|(_, s)| s.key).collect();
-        idle.into_iter().for_each(|key| self.close(key));
+        for key in idle.into_iter().filter(|key| self.is_silent(*key)).collect::<Vec<_>>() {
+            self.close(key);
+        }
+    }
+
+    /// Whether nothing has come on a connection that was not read yet. Guards against: closing on a request
+    /// that lies in the socket, which is lost then.
+    fn is_silent(&self, key: Key) -> bool {
+        let socket = self.sockets.get(key.slot).filter(|s| s.key == key);
+        socket.is_some_and(|s| s.stream.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock))
     }
 
     /// Something has happened on a connection.
@@ -534,7 +591,7 @@
         let now = self.clock.now();
         self.accept_at = 0.0;
         loop {
-            if self.sockets.len() + self.reserve() >= self.most_sockets && !self.free_one() {
+            if self.listeners >= self.most_listeners && !self.free_listener() {
                 self.accept_at = now + ACCEPT_REST;
                 return log::warn!(
                     "no descriptor left for a new connection; {} are open",
@@ -554,7 +611,7 @@
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
                     // Guards against: a full table of descriptors, which would have the loop spin.
-                    self.free_one();
+                    self.free_listener();
                     self.accept_at = now + ACCEPT_REST;
                     return log::warn!("accept: {e}");
                 }
@@ -562,11 +619,6 @@
         }
     }
 
-    /// Descriptors kept back for targets and discovery.
-    fn reserve(&self) -> usize {
-        self.most_sockets / 8
-    }
-
     /// Takes all requests that have come whole on a connection, as far as answers allow.
     fn requests(&mut self, key: Key, now: Millis) {
         loop {
@@ -590,6 +642,11 @@
                     let status = if self.drain.is_on() { 503 } else { 200 };
                     self.reply(key, now, !self.drain.is_on(), |keep| http::response(status, &[], b"", keep));
                 }
+                Ask::Job(_) if self.is_full() => {
+                    self.short(now);
+                    let failed = Answer::Failed { expired: false };
+                    self.reply(key, now, false, |keep| failed.bytes(keep));
+                }
                 Ask::Job(job) => match self.dispatch.arrived(key, *job, now) {
                     Ok(id) => {
                         if let Some(Socket { role: Role::Listener(_, job), .. }) = self.socket(key) {
@@ -661,6 +718,10 @@
         };
         let key = match key {
             Ok(key) => key,
+            Err(e) if e.kind() == ErrorKind::QuotaExceeded => {
+                self.short(now);
+                return self.task_ended(task, End::NotSent, target, now);
+            }
             Err(e) => {
                 log::warn!("no connection to {addr}: {e}");
                 return self.task_ended(task, End::NotSent, target, now);
@@ -768,13 +829,14 @@
     fn log_counters(&self, when: &str) {
         let (c, open, broken) = (&self.dispatch.counts, self.sockets.len(), invariant::broken());
         log::info!(
-            "{when}: taken={} served={} refused={} failed={} left={} forwards={} open={open}{broken}",
+            "{when}: taken={} served={} refused={} failed={} left={} forwards={} short={} open={open}{broken}",
             c.taken,
             c.served,
             c.refused,
             c.failed,
             c.left,
-            c.forwards
+            c.forwards,
+            c.short
         );
     }
 }
--- a/node/src/listener.rs
+++ b/node/src/listener.rs
@@ -4,6 +4,9 @@
 use crate::clock::Millis;
 use crate::http::{Decoder, Fault, Message, Outbox, RequestLine, MAX_BODY};
 
+/// For so long the first request on a new connection may be on its way.
+const NEW: Millis = 1_000.0;
+
 /// How far a connection is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
@@ -24,6 +27,7 @@
     /// The client of the request at hand closes after it.
     last: bool,
     told_to_go_on: bool,
+    has_served: bool,
     /// Its sending side is shut.
     pub shut: bool,
     /// When something last came or went.
@@ -41,6 +45,7 @@
             state: State::Open,
             last: false,
             told_to_go_on: false,
+            has_served: false,
             shut: false,
             used: now,
             brings_news: false,
@@ -93,6 +98,7 @@
         if self.state == State::Busy {
             self.outbox.put(bytes);
             self.used = now;
+            self.has_served = true;
             self.state = if keep { State::Open } else { State::Last };
         }
     }
@@ -107,8 +113,29 @@
         self.state == State::Open && self.decoder.is_empty() && self.outbox.unsent().is_empty()
     }
 
+    /// Whether it may be closed for want of descriptors, or at the end. Guards against: closing a new connection
+    /// on its first request, which the client then takes for lost.
+    pub fn may_close(&self, now: Millis) -> bool {
+        self.is_idle() && (self.has_served || now >= self.used + NEW)
+    }
+
     /// Whether part of a request has come and the rest is awaited.
     pub fn is_partial(&self) -> bool {
         self.state == State::Open && !self.decoder.is_empty()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_new_connection_is_left_alone_until_its_first_request_must_have_come() {
+        let mut c = Connection::new(5.0);
+        assert!(c.is_idle() && !c.may_close(5.0 + NEW / 2.0) && c.may_close(5.0 + NEW));
+        c.receive(b"GET /up HTTP/1.1\r\n\r\n", 6.0);
+        assert!(c.next().is_some() && !c.may_close(1e9));
+        c.answer(b"", true, 7.0);
+        assert!(c.may_close(7.0));
+    }
+}
--- a/node/tests/serve.rs
+++ b/node/tests/serve.rs
@@ -17,12 +17,19 @@
     discovery: TcpListener,
 }
 
-fn config(name: &str, discovery: SocketAddr, target: SocketAddr) -> PathBuf {
+/// A configuration file with so many targets, all at one address.
+fn config(name: &str, discovery: SocketAddr, target: SocketAddr, targets: usize) -> PathBuf {
+    let entry = |n| {
+        format!(
+            r#"{{"id": "s-{n}", "addr": "{target}", "zone": "a", "kind": "k", "cell": 0, "state": "up",
+            "weight": 1.0, "started_ms": 0}}"#
+        )
+    };
+    let servers = (1..=targets).map(entry).collect::<Vec<_>>().join(",");
     let text = format!(
         r#"{{"name": "n0", "listen": "127.0.0.1:0", "discovery": "{discovery}", "seed": "8c1f30d27a5be964",
         "limits": {{"cores": 1.0, "memory_mb": 192, "sockets": 64}},
-        "known": {{"version": 41, "full": true, "servers": [{{"id": "s-1", "addr": "{target}", "zone": "a",
-            "kind": "k", "cell": 0, "state": "up", "weight": 1.0, "started_ms": 0}}]}},
+        "known": {{"version": 41, "full": true, "servers": [{servers}]}},
         "settings": {{"Discovery": "ask", "Zones": ["a"], "Models": ["k"],
             "Permissions": {{"Cancel": true, "ConnectTimeoutMs": 5000, "KeepaliveMs": 60000, "MaxAttempts": 2}},
             "Rules": {{"ColdFrom": 1, "FallMs": 1, "OverloadFactor": 3, "WarmAfterMs": 1}},
@@ -35,9 +42,13 @@
 
 impl Scheduler {
     fn start(name: &str) -> Scheduler {
+        Scheduler::with(name, 1)
+    }
+
+    fn with(name: &str, targets: usize) -> Scheduler {
         let target = TcpListener::bind("127.0.0.1:0").unwrap();
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
-        let config = config(name, discovery.local_addr().unwrap(), target.local_addr().unwrap());
+        let config = config(name, discovery.local_addr().unwrap(), target.local_addr().unwrap(), targets);
         let mut command = Command::new(env!("CARGO_BIN_EXE_postusher"));
         let command = command.arg("serve").arg("--config").arg(config).env_remove("RUST_LOG");
         let mut process = command.stderr(Stdio::piped()).spawn().unwrap();
@@ -167,6 +178,40 @@
     }
 }
 
+#[test]
+fn news_come_through_when_clients_hold_all_other_descriptors() {
+    // 64 descriptors: 13 of its own, 12 for targets, 9 of the other 39 for news, so that 30 jobs fill the rest.
+    let s = Scheduler::with("full", 8);
+    let (took, taken) = std::sync::mpsc::channel();
+    let target = s.target.try_clone().unwrap();
+    std::thread::spawn(move || {
+        for stream in target.incoming().map_while(Result::ok) {
+            let (mut peer, took) = (Peer::new(stream), took.clone());
+            std::thread::spawn(move || {
+                while peer.0.fill_buf().is_ok_and(|b| !b.is_empty()) {
+                    peer.message();
+                    peer.send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+                    let _ = took.send(()); // the test may be over
+                }
+            });
+        }
+    });
+    let mut clients = Vec::new();
+    for n in 0..30 {
+        let mut client = s.connect();
+        client.job(&format!("t{n}"));
+        taken.recv_timeout(HANG).unwrap();
+        clients.push(client);
+    }
+    let mut one_more = s.connect();
+    one_more.job("t30");
+    assert_eq!(one_more.message().0, "HTTP/1.1 502 Bad Gateway");
+    for target in 1..=8 {
+        s.news(&format!(r#"{{"id":"t0","from":"s-{target}","state":"done","result":"r"}}"#));
+    }
+    assert_eq!(clients[0].message().0, "HTTP/1.1 200 OK");
+}
+
 #[test]
 fn a_watch_goes_on_and_a_broken_one_begins_again() {
     let s = Scheduler::start("watch");
@@ -214,7 +259,7 @@
         assert!(!output.status.success() && error.lines().count() == 1, "{error}");
         assert!(error.contains("no/such/file"));
     }
-    let good = config("good", ([127, 0, 0, 1], 1).into(), ([127, 0, 0, 1], 2).into());
+    let good = config("good", ([127, 0, 0, 1], 1).into(), ([127, 0, 0, 1], 2).into(), 1);
     assert!(run(&["check-config", "--config", good.to_str().unwrap()]).status.success());
     assert!(String::from_utf8(run(&["version"]).stdout).unwrap().starts_with("postusher "));
 }
