SIGHUP reads the configuration again and moves the watch at once

Checked: the module's back-off after failed list calls would reach 3.75 s on its own, which is too long for the 4 s within which discovery's word counts as told; a moved list therefore starts anew and stays at 0.1 to 0.4 s for 4 s. Now: signals are installed before the configuration is read (signal-hook-mio); a file that is broken is one line and changes nothing; a new discovery address ends the old watch and has the whole list called for; what needs a restart is named in the log.

--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -118,6 +118,11 @@
         self.events.push(Event::Members { kind, members });
     }
 
+    /// The list is kept elsewhere from now on.
+    pub fn list_moved(&mut self) {
+        self.events.push(Event::ListMoved);
+    }
+
     /// A client's job; the client's id if another job under way has it already.
     pub fn arrived(&mut self, client: Key, job: Job, now: Millis) -> Result<JobId, String> {
         if self.by_trace.contains_key(job.trace.as_str()) {
--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -8,13 +8,16 @@
 use crate::http::{Outbox, RequestLine};
 use crate::invariant;
 use crate::listener::{self, State};
+use crate::reload::Reload;
 use crate::target_group::{self, TargetGroup};
-use mio::net::{TcpListener, TcpStream, UnixStream};
+use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
 use postusher::{JobId, ListKind};
 use postusher_settings::Site;
+use signal_hook::consts::{SIGHUP, SIGTERM};
+use signal_hook_mio::v1_0::Signals;
 use slab::Slab;
-use std::io::{self, ErrorKind, Read};
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,6 +39,12 @@
 /// Between two lines of counters in the log.
 const COUNTERS_EVERY: Millis = 60_000.0;
 
+/// How many connections from outside and to targets there may be, of so many descriptors.
+fn shares(descriptors: usize) -> (usize, usize) {
+    let connections = descriptors - OWN_DESCRIPTORS;
+    (connections - connections / FORWARDS_ONE_IN, connections / FORWARDS_ONE_IN)
+}
+
 /// Names a connection for as long as it lives; its slot may be used again by another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Key {
@@ -88,7 +97,8 @@
     discovery: SocketAddr,
     listener: TcpListener,
     accept_at: Millis,
-    signal: UnixStream,
+    signals: Signals,
+    reload: Reload,
     sockets: Slab<Socket>,
     serial: u64,
     /// Connections that others opened, and how many there may be.
@@ -110,18 +120,21 @@
 }
 
 impl EventLoop {
+    /// The signals that a scheduler acts on. Guards against: one that comes before they are waited for, and ends
+    /// the process.
+    pub fn signals() -> io::Result<Signals> {
+        Signals::new([SIGTERM, SIGHUP])
+    }
+
     /// Listens, and hands the module the list that the configuration knows.
-    pub fn new(config: Config, clock: Clock) -> io::Result<EventLoop> {
+    pub fn new(config: Config, reload: Reload, mut signals: Signals, clock: Clock) -> io::Result<EventLoop> {
         let now = clock.now();
         let poll = Poll::new()?;
         let mut listener = TcpListener::bind(config.listen)
             .map_err(|e| io::Error::new(e.kind(), format!("listening on {}: {e}", config.listen)))?;
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
-        let (mut signal, to_signal) = UnixStream::pair()?;
-        let to_signal: std::os::fd::OwnedFd = to_signal.into();
-        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, to_signal)?;
-        poll.registry().register(&mut signal, SIGNAL, Interest::READABLE)?;
-        let connections = config.sockets - OWN_DESCRIPTORS;
+        poll.registry().register(&mut signals, SIGNAL, Interest::READABLE)?;
+        let (most_listeners, most_forwards) = shares(config.sockets);
         let site = Rc::new(config.site);
         let mut dispatch = Dispatch::new(site.clone(), config.seed, now);
         let mut group = TargetGroup::new(&site);
@@ -140,13 +153,14 @@
             discovery: config.discovery,
             listener,
             accept_at: now,
-            signal,
+            signals,
+            reload,
             sockets: Slab::new(),
             serial: 0,
             listeners: 0,
-            most_listeners: connections - connections / FORWARDS_ONE_IN,
+            most_listeners,
             forwards: 0,
-            most_forwards: connections / FORWARDS_ONE_IN,
+            most_forwards,
             dispatch,
             group,
             watch: None,
@@ -264,14 +278,39 @@
     }
 
     fn signalled(&mut self) {
-        let mut bytes = [0; 16];
-        while self.signal.read(&mut bytes).is_ok_and(|n| n > 0) {}
+        for signal in self.signals.pending().collect::<Vec<_>>() {
+            match signal {
+                SIGHUP => self.reload(),
+                _ => self.terminate(),
+            }
+        }
+    }
+
+    fn terminate(&mut self) {
         if !self.drain.is_on() {
             log::info!("SIGTERM: {} requests to finish", self.dispatch.unanswered());
         }
         self.drain.begin(self.clock.now());
     }
 
+    /// Takes over what the configuration file says now, as far as that can be done without a restart; nothing
+    /// under way is disturbed. A file that cannot be read changes nothing.
+    fn reload(&mut self) {
+        let new = match self.reload.read() {
+            Ok(new) => new,
+            Err(e) => return log::error!("SIGHUP: the configuration stays as it was: {e}"),
+        };
+        (self.most_listeners, self.most_forwards) = shares(new.sockets);
+        let moved = new.discovery != self.discovery;
+        log::info!("SIGHUP: discovery at {}{}", new.discovery, if moved { "" } else { ", as before" });
+        if !new.restart.is_empty() {
+            log::warn!("SIGHUP: only a restart takes over another {}", new.restart.join(", "));
+        }
+        if moved {
+            self.move_watch(new.discovery);
+        }
+    }
+
     fn log_counters(&self, when: &str) {
         let (c, open, broken) = (&self.dispatch.counts, self.sockets.len(), invariant::broken());
         log::info!(
--- a/node/src/event_loop/watch.rs
+++ b/node/src/event_loop/watch.rs
@@ -4,6 +4,7 @@
 use crate::clock::Millis;
 use crate::target_group::{self, Applied, List};
 use postusher::ListKind;
+use std::net::SocketAddr;
 
 impl EventLoop {
     /// Makes the next call of the watch on a new connection.
@@ -16,6 +17,17 @@
         }
     }
 
+    /// Discovery is elsewhere: the watch at the old place ends, and the whole list is called for at the new one.
+    /// The list held stays in use until that has come.
+    pub(super) fn move_watch(&mut self, discovery: SocketAddr) {
+        if let Some(key) = self.watch.take() {
+            self.close(key);
+        }
+        self.discovery = discovery;
+        self.group.moved();
+        self.dispatch.list_moved();
+    }
+
     /// The module says when to ask again.
     fn watch_failed(&mut self, why: &str) {
         log::warn!("discovery: {why}");
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -16,12 +16,14 @@
 #[cfg(test)]
 mod model;
 mod news;
+mod reload;
 mod target_group;
 
 use clap::{Args, Parser, Subcommand};
 use clock::Clock;
 use config::Config;
 use event_loop::EventLoop;
+use reload::Reload;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -53,9 +55,10 @@
 fn run(command: Command) -> Result<(), String> {
     match command {
         Command::Serve(arg) => {
+            let signals = EventLoop::signals().map_err(|e| format!("signals: {e}"))?;
             let config = Config::load(&arg.config)?;
-            let name = config.name.clone();
-            let serving = EventLoop::new(config, Clock::system()).and_then(|mut l| l.run());
+            let (name, reload) = (config.name.clone(), Reload::new(arg.config, &config));
+            let serving = EventLoop::new(config, reload, signals, Clock::system()).and_then(|mut l| l.run());
             serving.map_err(|e| format!("{name}: {e}"))
         }
         Command::CheckConfig(arg) => {
--- a/node/src/target_group.rs
+++ b/node/src/target_group.rs
@@ -127,6 +127,12 @@
         Applied { kind: if list.full { ListKind::Full } else { ListKind::Delta }, members, stale }
     }
 
+    /// The list comes from another service from now on. Guards against: a call for the changes since a version
+    /// that only the service before it knows.
+    pub fn moved(&mut self) {
+        self.version = None;
+    }
+
     fn member(&mut self, e: Entry) -> Member {
         let worker = self.id(&e.id);
         self.targets.insert(worker, Target { name: e.id.into(), addr: e.addr });
--- a/node/tests/serve.rs
+++ b/node/tests/serve.rs
@@ -69,10 +69,19 @@
         assert_eq!(peer.message().0, "HTTP/1.1 200 OK");
     }
 
-    /// Sends SIGTERM to the process that this test has started.
-    fn terminate(&self) {
+    /// Sends a signal to the process that this test has started.
+    fn signal(&self, signal: &str) {
         let id = self.process.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
+    /// Waits for a line of the log.
+    fn logs(&mut self, part: &str) {
+        let mut line = String::new();
+        while !line.contains(part) {
+            line.clear();
+            assert!(self.log.read_line(&mut line).unwrap() > 0, "the log ended");
+        }
     }
 }
 
@@ -224,6 +233,34 @@
     assert!(Peer::new(s.discovery.accept().unwrap().0).message().0.contains("after=42&"));
 }
 
+#[test]
+fn sighup_moves_the_watch_and_disturbs_no_request() {
+    let mut s = Scheduler::start("reloaded");
+    let mut old = Peer::new(s.discovery.accept().unwrap().0);
+    assert!(old.message().0.contains("after=41&"));
+    let mut client = s.connect();
+    client.job("t1");
+    let mut target = Peer::new(s.target.accept().unwrap().0);
+    target.message();
+    target.send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("reloaded.json");
+    let good = std::fs::read_to_string(&path).unwrap();
+    std::fs::write(&path, "{").unwrap();
+    s.signal("-HUP");
+    s.logs("SIGHUP: the configuration stays as it was");
+    let new = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (from, to) = (s.discovery.local_addr().unwrap(), new.local_addr().unwrap());
+    std::fs::write(&path, good.replace(&from.to_string(), &to.to_string())).unwrap();
+    s.signal("-HUP");
+    // The versions of another service mean nothing: the whole list comes first, also when the first call fails.
+    for _ in 0..2 {
+        assert_eq!(Peer::new(new.accept().unwrap().0).message().0, "GET /discovery/hosts HTTP/1.1");
+    }
+    assert!(old.ends());
+    s.news(r#"{"id":"t1","from":"s-1","state":"done","result":"r"}"#);
+    assert_eq!(client.message().0, "HTTP/1.1 200 OK");
+}
+
 #[test]
 fn sigterm_lets_work_end_before_the_program_does() {
     let mut s = Scheduler::start("drained");
@@ -234,12 +271,8 @@
     let mut target = Peer::new(s.target.accept().unwrap().0);
     target.message();
     target.send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
-    s.terminate();
-    let mut line = String::new();
-    while !line.contains("SIGTERM: 1 request") {
-        line.clear();
-        assert!(s.log.read_line(&mut line).unwrap() > 0, "the log ended");
-    }
+    s.signal("-TERM");
+    s.logs("SIGTERM: 1 request");
     up.send("GET /up HTTP/1.1\r\n\r\n");
     assert_eq!(up.message().0, "HTTP/1.1 503 Service Unavailable");
     assert!(up.ends());
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -34,7 +34,7 @@
 }
 
 /// The settings of a site with the names that its messages use.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Site {
     /// What a dispatcher is told.
     pub settings: Settings,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -41,7 +41,7 @@
 }
 
 /// What is known of a class of jobs.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// When it may be repeated.
     pub effect: Effect,
@@ -73,7 +73,7 @@
 }
 
 /// All that a dispatcher is told at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The classes, by number.
     pub classes: Vec<Class>,
@@ -234,6 +234,8 @@
 pub enum Event {
     /// News of the list of workers.
     Members { kind: ListKind, members: Vec<Member> },
+    /// The list is kept elsewhere from now on: it has to be asked for there, whatever failed before.
+    ListMoved,
     /// A client's job; the dispatcher owes one final answer.
     Arrived(Job),
     /// The job has started on the worker.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,6 +28,7 @@
 const FRESH: f64 = 0.5; // a report is fresh for this part of the mean running time: most still runs then
 const PROBE_RATIO: f64 = 1.0; // probes for each arrival; three times as many are kept for later
 const LIST_CALL: f64 = 10_000.0; // the first list call comes by chance within this for each sibling
+const MOVE: Micros = 4_000_000; // after the list has moved: what it tells must be known within this
 const AFFORD: f64 = 0.7; // part of a job's slack that waiting may use
 const BY_STARTS: f64 = 3.0; // part of that, as a divisor, where only starts tell of queues, in the mean
 const CHANCE: f64 = 1.0; // margin for what all send a cold worker, in roots of mean jobs: it's partly chance
@@ -60,6 +61,10 @@
         self.unheard = self.mean_others.or(0.0) + self.hidden();
         match event {
             Event::Members { kind, members } => self.members(kind, members, out),
+            Event::ListMoved => {
+                (self.list_failures, self.list_moved) = (0, Some(self.now));
+                out.push(Action::Subscribe);
+            }
             Event::Arrived(job) => self.arrived(job, out),
             Event::Started { job, leg } | Event::Progress { job, leg, .. } => self.note(job, leg, out),
             Event::Streaming { job, .. } => drop(self.requests.entry(job).and_modify(|r| r.streaming = true)),
@@ -87,7 +92,9 @@
         match kind {
             ListKind::Failed => {
                 // The list is a shared service: ask again later and later, but well inside `ask_within`.
-                let step = (250_000u64 << self.list_failures.min(4)).min(self.set.ask_within / 4);
+                let moved = self.list_moved.is_some_and(|at| self.now < at + MOVE);
+                let rise = if moved { 0 } else { self.list_failures.min(4) };
+                let step = (250_000u64 << rise).min(self.set.ask_within / 4);
                 self.list_failures += 1;
                 let after = (step as f64 * (0.5 + self.rng.next())) as Micros;
                 return out.push(Action::Wake { after, cookie: Cookie::List.into() });
--- a/src/state.rs
+++ b/src/state.rs
@@ -536,6 +536,8 @@
     pub(crate) retries: Budget,
     pub(crate) copies: Budget,
     pub(crate) list_failures: u32,
+    /// When the list was last said to be kept elsewhere.
+    pub(crate) list_moved: Option<Micros>,
     /// Strain of the latest outcomes, of whichever worker.
     pub(crate) recent: Recent,
     /// Workers that time alone changes: those that hold attempts, lie out or are on trial, and those cold.
--- a/tests/further_rules.rs
+++ b/tests/further_rules.rs
@@ -177,3 +177,28 @@
     assert!(owed, "the turn did not come in time");
     assert!(keyed_job(&mut rig, 99, 5).is_none(), "the first is not over yet");
 }
+
+#[test]
+fn a_list_that_has_moved_is_asked_for_at_once_and_often_whatever_failed_before() {
+    let mut rig = Rig::new(Settings { must_ask: true, ..settings() }, 2);
+    let failed = |rig: &mut Rig| {
+        rig.actions.clear();
+        rig.members(ListKind::Failed, Vec::new());
+        rig.actions.iter().find_map(|a| match a {
+            Action::Wake { after, .. } => Some(*after),
+            _ => None,
+        })
+    };
+    for _ in 0..8 {
+        failed(&mut rig);
+    }
+    assert!(failed(&mut rig).unwrap() > S);
+    rig.actions.clear();
+    rig.play(Event::ListMoved);
+    assert_eq!(rig.actions, vec![Action::Subscribe]);
+    for _ in 0..8 {
+        assert!(failed(&mut rig).unwrap() < 400 * MS);
+    }
+    rig.now += 4 * S;
+    assert!(failed(&mut rig).unwrap() > S);
+}
