--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -92,6 +92,8 @@
     /// Requests that may be over, or late, looked at once the module has had its say.
     doubtful: Vec<JobId>,
     last_id: u32,
+    /// By when jobs must have their answers, whatever their clients' patience: the scheduler ends.
+    ends: Millis,
     /// What happened so far.
     pub counts: Counts,
 }
@@ -109,6 +111,7 @@
             by_trace: HashMap::new(),
             doubtful: Vec::new(),
             last_id: 0,
+            ends: f64::INFINITY,
             counts: Counts::default(),
         }
     }
@@ -123,12 +126,18 @@
         self.events.push(Event::ListMoved);
     }
 
+    /// The scheduler ends: jobs that come from now on must have their answers by then. Guards against: a job
+    /// taken on the way out that the end of the process leaves without an answer.
+    pub fn ends_at(&mut self, at: Millis) {
+        self.ends = at;
+    }
+
     /// A client's job; the client's id if another job under way has it already.
     pub fn arrived(&mut self, client: Key, job: Job, now: Millis) -> Result<JobId, String> {
         if self.by_trace.contains_key(job.trace.as_str()) {
             return Err(job.trace);
         }
-        let (trace, expires) = (Rc::<str>::from(job.trace.as_str()), now + job.wait);
+        let (trace, expires) = (Rc::<str>::from(job.trace.as_str()), (now + job.wait).min(self.ends));
         self.last_id = self.last_id.wrapping_add(1);
         while self.requests.contains_key(&JobId(self.last_id)) {
             self.last_id = self.last_id.wrapping_add(1);
--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -36,6 +36,8 @@
 const FORWARDS_ONE_IN: usize = 4;
 /// The loop looks around at least this often.
 const LONGEST_SLEEP: Millis = 1_000.0;
+/// Near the end, idle connections are closed so often.
+const CLOSE_EVERY: Millis = 20.0;
 /// Between two lines of counters in the log.
 const COUNTERS_EVERY: Millis = 60_000.0;
 
@@ -136,6 +138,7 @@
         poll.registry().register(&mut signals, SIGNAL, Interest::READABLE)?;
         let (most_listeners, most_forwards) = shares(config.sockets);
         let site = Rc::new(config.site);
+        let longest = site.classes.iter().map(|(_, limit)| *limit).fold(0.0, f64::max);
         let mut dispatch = Dispatch::new(site.clone(), config.seed, now);
         let mut group = TargetGroup::new(&site);
         let members = group.apply(config.known).members;
@@ -166,7 +169,7 @@
             watch: None,
             pool: Pool::default(),
             timers: Timers::new(),
-            drain: Drain::default(),
+            drain: Drain::new(longest),
             counters_at: now + COUNTERS_EVERY,
             short_at: now,
             scratch: vec![0; 64 * 1024],
@@ -186,17 +189,18 @@
     }
 
     fn is_over(&self) -> bool {
-        let passed = self.drain.closes_at().is_some_and(|at| self.clock.now() >= at);
-        passed && self.dispatch.unanswered() == 0 && self.sockets.iter().all(|(_, s)| !s.owes())
+        self.drain.is_closing(self.clock.now())
+            && self.dispatch.unanswered() == 0
+            && self.sockets.iter().all(|(_, s)| !s.owes())
     }
 
     fn sleep(&mut self, events: &mut Events) -> io::Result<()> {
         let now = self.clock.now();
         let accept = (self.accept_at > now).then_some(self.accept_at);
-        let wakes = [self.dispatch.next_due(), self.timers.next(), self.drain.closes_at(), accept];
+        // Once they are to be closed, connections fall idle one by one.
+        let closes = self.drain.closes_at().map(|at| at.max(now + CLOSE_EVERY));
+        let wakes = [self.dispatch.next_due(), self.timers.next(), closes, accept];
         let next = wakes.into_iter().flatten().fold(now + LONGEST_SLEEP, f64::min);
-        // A drain whose time has passed waits for work to end, which is an event of its own.
-        let next = if self.drain.is_on() { next.max(now + 1.0) } else { next };
         let micros = if self.dispatch.has_events() { 0.0 } else { ((next - now) * 1e3).ceil().max(0.0) };
         match self.poll.poll(events, Some(Duration::from_micros(micros as u64))) {
             Err(e) if e.kind() != ErrorKind::Interrupted => Err(e),
@@ -222,7 +226,7 @@
             self.socket_due(key, now);
         }
         self.dispatch.due(now);
-        if self.drain.closes_at().is_some_and(|at| now >= at) {
+        if self.drain.is_closing(now) {
             self.close_idle_listeners(now);
         }
         if now >= self.counters_at {
@@ -291,6 +295,7 @@
             log::info!("SIGTERM: {} requests to finish", self.dispatch.unanswered());
         }
         self.drain.begin(self.clock.now());
+        self.drain.ends_at().into_iter().for_each(|at| self.dispatch.ends_at(at));
     }
 
     /// Takes over what the configuration file says now, as far as that can be done without a restart; nothing
--- a/node/src/event_loop/listeners.rs
+++ b/node/src/event_loop/listeners.rs
@@ -115,7 +115,7 @@
 
     /// Gives a client its final answer.
     pub(super) fn answer(&mut self, client: Key, answer: &Answer, now: Millis) {
-        let keep = !self.drain.is_on();
+        let keep = !self.drain.is_closing(now);
         self.reply(client, now, keep, |keep| answer.bytes(keep));
         self.drive(client);
     }
--- a/node/tests/serve.rs
+++ b/node/tests/serve.rs
@@ -279,6 +279,13 @@
     s.news(r#"{"id":"t1","from":"s-1","state":"done","result":"r"}"#);
     let (line, head, body) = client.message();
     assert_eq!((line.as_str(), body.as_str()), ("HTTP/1.1 200 OK", "r"));
+    // For a while it may be that no other scheduler takes its clients: their connections stay open.
+    assert!(!head.contains("Connection: close\r\n"));
+    // What comes now and finds no end has an answer before the process is killed, long before its deadline.
+    client.job("t2");
+    assert_eq!(target.message().0, "POST /render/x?y=1 HTTP/1.1");
+    let (line, head, _) = client.message();
+    assert_eq!(line, "HTTP/1.1 504 Gateway Timeout");
     assert!(head.contains("Connection: close\r\n") && client.ends());
     assert!(s.process.wait().unwrap().success());
 }
