What is hardly over by its deadline is sent only where it starts at once, not refused

Faulty lines: rules.rs place(), `fits`. Also: on the way out, what is turned away has its connection closed, or its client comes back to here at once (traced: one fund-batch three times within 10 ms on one connection).

--- a/node/src/event_loop/listeners.rs
+++ b/node/src/event_loop/listeners.rs
@@ -115,7 +115,9 @@
 
     /// Gives a client its final answer.
     pub(super) fn answer(&mut self, client: Key, answer: &Answer, now: Millis) {
-        let keep = !self.drain.is_closing(now);
+        // On the way out, what is turned away must not come back to here at once.
+        let turned_away = !matches!(answer, Answer::Served(_));
+        let keep = !self.drain.is_closing(now) && !(self.drain.is_on() && turned_away);
         self.reply(client, now, keep, |keep| answer.bytes(keep));
         self.drive(client);
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -418,10 +418,11 @@
     /// Seizes tokens for a job, or gives it its refusal at once. Returns where it looked.
     fn place(&mut self, id: JobId, out: &mut Vec<Action>) -> Vec<WorkerId> {
         let Some(r) = self.requests.get(&id) else { return Vec::new() };
-        // What can't be over by its deadline would only hold up others.
-        let fits = (r.job.expires.saturating_sub(self.now)) as f64 > self.expected(r);
-        let (open, next) = (fits && self.may_send(r), self.next_for(r, LOOK));
-        match open.then(|| self.pick(r, &next, self.affords(r))).flatten() {
+        let (open, next) = (r.job.expires > self.now && self.may_send(r), self.next_for(r, LOOK));
+        // What is hardly over by its deadline is not worth holding up others: it has to start at once.
+        let fits = (r.job.expires - self.now.min(r.job.expires)) as f64 > self.expected(r);
+        let most = if fits { self.affords(r) } else { 0 };
+        match open.then(|| self.pick(r, &next, most)).flatten() {
             Some(worker) => self.send(id, worker, out),
             None => self.turn_away(id, out),
         }
