--- a/node/src/event_loop/listeners.rs
+++ b/node/src/event_loop/listeners.rs
@@ -117,7 +117,7 @@
     pub(super) fn answer(&mut self, client: Key, answer: &Answer, now: Millis) {
         // On the way out, what is turned away must not come back to here at once.
         let turned_away = !matches!(answer, Answer::Served(_));
-        let keep = !self.drain.is_closing(now) && !(self.drain.is_on() && turned_away);
+        let keep = !(self.drain.is_closing(now) || self.drain.is_on() && turned_away);
         self.reply(client, now, keep, |keep| answer.bytes(keep));
         self.drive(client);
     }
