Give bad clients their error or close within 3 s, and bound what one may take of a turn

Now: a request is whole within 2.5 s (408) or the connection is closed; 64 KiB of reads and 64 accepts a turn; an answer not read for 10 s is given up; unreadable or repeated figures are 400; a keyed job without its key is 400; one refused for want of descriptors gets 503 with Retry-After instead of 502, since it never ran.

--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -98,7 +98,10 @@
     site: Rc<Site>,
     discovery: SocketAddr,
     listener: TcpListener,
+    /// When to look for new connections unasked; 0: not before one is told of.
     accept_at: Millis,
+    /// Connections that have had their part of a turn and may have more.
+    again: Vec<Key>,
     signals: Signals,
     reload: Reload,
     sockets: Slab<Socket>,
@@ -156,6 +159,7 @@
             discovery: config.discovery,
             listener,
             accept_at: now,
+            again: Vec::new(),
             signals,
             reload,
             sockets: Slab::new(),
@@ -196,12 +200,13 @@
 
     fn sleep(&mut self, events: &mut Events) -> io::Result<()> {
         let now = self.clock.now();
-        let accept = (self.accept_at > now).then_some(self.accept_at);
+        let accept = (self.accept_at > 0.0).then_some(self.accept_at);
         // Once they are to be closed, connections fall idle one by one.
         let closes = self.drain.closes_at().map(|at| at.max(now + CLOSE_EVERY));
         let wakes = [self.dispatch.next_due(), self.timers.next(), closes, accept];
         let next = wakes.into_iter().flatten().fold(now + LONGEST_SLEEP, f64::min);
-        let micros = if self.dispatch.has_events() { 0.0 } else { ((next - now) * 1e3).ceil().max(0.0) };
+        let more = self.dispatch.has_events() || !self.again.is_empty();
+        let micros = if more { 0.0 } else { ((next - now) * 1e3).ceil().max(0.0) };
         match self.poll.poll(events, Some(Duration::from_micros(micros as u64))) {
             Err(e) if e.kind() != ErrorKind::Interrupted => Err(e),
             _ => Ok(()),
@@ -211,6 +216,7 @@
     /// Takes in all that is ready; nothing is decided yet.
     fn gather(&mut self, events: &Events) {
         let resting = self.accept_at;
+        let again = std::mem::take(&mut self.again);
         for event in events {
             match event.token() {
                 LISTENER => self.accept(),
@@ -218,6 +224,7 @@
                 Token(slot) => self.ready(slot),
             }
         }
+        again.into_iter().for_each(|key| self.drive(key));
         let now = self.clock.now();
         if resting > 0.0 && resting <= now && resting == self.accept_at {
             self.accept();
--- a/node/src/event_loop/listeners.rs
+++ b/node/src/event_loop/listeners.rs
@@ -15,15 +15,18 @@
 const SHORT_EVERY: Millis = 10_000.0;
 /// After a failed accept the listener rests so long.
 const ACCEPT_REST: Millis = 20.0;
-/// A request that has begun to come must be whole within this time.
-pub(super) const PARTIAL_LIMIT: Millis = 30_000.0;
+/// So many new connections are taken in a turn. Guards against: a flood of them that keeps those at work waiting.
+const ACCEPT_BUDGET: usize = 64;
+/// A client turned away for want of descriptors should come back after this time.
+const FULL_FOR: Millis = 500.0;
 
 impl EventLoop {
-    /// Takes all connections that wait, as far as descriptors allow.
+    /// Takes connections that wait, as far as descriptors allow.
     pub(super) fn accept(&mut self) {
         let now = self.clock.now();
-        self.accept_at = 0.0;
-        loop {
+        // What is left after this turn's part is looked for in the next.
+        self.accept_at = now;
+        for _ in 0..ACCEPT_BUDGET {
             if self.listeners >= self.most_listeners && !self.free_listener() {
                 self.accept_at = now + ACCEPT_REST;
                 return self.short(now);
@@ -31,13 +34,17 @@
             match self.listener.accept() {
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true); // a delay at worst
-                    let role = Role::Listener(listener::Connection::new(now), None);
-                    match self.add(stream, role, false, f64::INFINITY) {
+                    let new = listener::Connection::new(now);
+                    let until = new.deadline();
+                    match self.add(stream, Role::Listener(new, None), false, until) {
                         Ok(key) => self.drive(key),
                         Err(e) => log::warn!("a new connection cannot be polled: {e}"),
                     }
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.accept_at = 0.0;
+                    return;
+                }
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
                     // Guards against: a full table of descriptors, which would have the loop spin.
@@ -54,12 +61,7 @@
         loop {
             let Some(socket) = self.socket(key) else { return };
             let Role::Listener(c, _) = &mut socket.role else { return };
-            let Some(next) = c.next() else {
-                if c.is_partial() && socket.deadline.is_infinite() {
-                    self.set_deadline(key, now + PARTIAL_LIMIT);
-                }
-                return;
-            };
+            let Some(next) = c.next() else { return };
             let message = match next {
                 Ok(message) => message,
                 Err(fault) => {
@@ -74,8 +76,11 @@
                 }
                 Ask::Job(_) if self.is_full() => {
                     self.short(now);
-                    let failed = Answer::Failed { expired: false };
-                    self.reply(key, now, false, |keep| failed.bytes(keep));
+                    let set = &self.site.settings;
+                    let advice = f64::from(u8::from(set.retry_after)) * FULL_FOR;
+                    let refused =
+                        Answer::Refused { retry_after: advice.min(set.max_retry_after as f64 / 1e3) };
+                    self.reply(key, now, false, |keep| refused.bytes(keep));
                 }
                 Ask::Job(job) => match self.dispatch.arrived(key, *job, now) {
                     Ok(id) => {
@@ -106,7 +111,7 @@
     }
 
     /// Answers the request at hand on a connection.
-    fn reply(&mut self, key: Key, now: Millis, keep: bool, bytes: impl Fn(bool) -> Vec<u8>) {
+    pub(super) fn reply(&mut self, key: Key, now: Millis, keep: bool, bytes: impl Fn(bool) -> Vec<u8>) {
         let Some(Socket { role: Role::Listener(c, job), .. }) = self.socket(key) else { return };
         let keep = c.keeps(keep);
         c.answer(&bytes(keep), keep, now);
@@ -146,16 +151,17 @@
         }
     }
 
-    /// The client's connection that has been idle for longest; targets' news connections only where no other is.
+    /// A connection that never asked for anything, else the one that has been idle for longest; targets' news
+    /// connections only where no other is.
     fn idle_listener(&self) -> Option<Key> {
         let now = self.clock.now();
         let idle = self.sockets.iter().filter_map(|(_, s)| match &s.role {
-            Role::Listener(c, _) if c.may_close(now) => Some((c.brings_news, c.used, s.key)),
+            Role::Listener(c, _) if c.may_close(now) => Some((c.brings_news, c.has_served(), c.used, s.key)),
             _ => None,
         });
         let mut idle: Vec<_> = idle.collect();
-        idle.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        idle.into_iter().map(|i| i.2).find(|key| self.is_silent(*key))
+        idle.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
+        idle.into_iter().map(|i| i.3).find(|key| self.is_silent(*key))
     }
 
     /// Closes clients' connections on which nothing is under way, near the end of a drain.
--- a/node/src/event_loop/sockets.rs
+++ b/node/src/event_loop/sockets.rs
@@ -1,17 +1,20 @@
 //! All connections: opened, read, written and closed, whoever is at the other end.
 
-use super::listeners::PARTIAL_LIMIT;
 use super::{EventLoop, Key, Role, Socket};
 use crate::clock::Millis;
 use crate::forward::Task;
+use crate::http;
 use crate::listener::State;
 use mio::net::TcpStream;
 use mio::{Interest, Token};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
 
-/// After its last answer a connection is kept this long for the client to read it and close.
-const LINGER: Millis = 1_000.0;
+/// So much is read of one connection in a turn, and what is read last over that. Guards against: one that sends
+/// at full speed, for which the loop would never come to the others.
+const READ_BUDGET: usize = 64 * 1024;
+/// So much of what came is written to the log where that is asked for.
+const LOGGED: usize = 512;
 
 /// What one read brought.
 enum ReadEnd {
@@ -21,6 +24,8 @@
     Ended,
     /// The connection wants no more for now.
     Full,
+    /// It has had its part of this turn.
+    Spent,
 }
 
 impl EventLoop {
@@ -126,30 +131,42 @@
         true
     }
 
-    /// Reads and writes all that a connection can.
+    /// Reads and writes what a connection can, up to its part of a turn.
     pub(super) fn drive(&mut self, key: Key) {
-        loop {
-            self.flush(key);
-            // A request may lie in the buffer for which an answer has now made room.
-            self.requests(key, self.clock.now());
-            let end = self.read(key);
-            self.flush(key);
-            match end {
-                ReadEnd::Dry => return,
-                ReadEnd::Ended => return self.broken(key),
-                ReadEnd::Full => {
-                    let full = |s: &Socket| matches!(&s.role, Role::Listener(c, _) if !c.wants_more());
-                    if self.socket(key).is_none_or(|s| full(s)) {
-                        return; // goes on with the next answer, or once the client has read some
-                    }
+        self.flush(key);
+        // A request may lie in the buffer for which an answer has now made room.
+        self.requests(key, self.clock.now());
+        let end = self.read(key);
+        self.flush(key);
+        match end {
+            ReadEnd::Dry => {}
+            ReadEnd::Ended => return self.broken(key),
+            // Readiness is told once: what is left must be looked for in the next turn.
+            ReadEnd::Spent => self.again.push(key),
+            ReadEnd::Full => {
+                let full = |s: &Socket| matches!(&s.role, Role::Listener(c, _) if !c.wants_more());
+                // Else it goes on with the next answer, or once the client has read some.
+                if self.socket(key).is_some_and(|s| !full(s)) {
+                    self.again.push(key);
                 }
             }
         }
+        self.mind(key);
     }
 
-    /// Reads all that there is.
+    /// Has a listener's connection looked at when its time is up.
+    fn mind(&mut self, key: Key) {
+        let Some(Socket { role: Role::Listener(c, _), deadline, .. }) = self.socket(key) else { return };
+        let until = c.deadline();
+        if until != *deadline {
+            self.set_deadline(key, until);
+        }
+    }
+
+    /// Reads what there is, up to a connection's part of a turn.
     fn read(&mut self, key: Key) -> ReadEnd {
         let mut scratch = std::mem::take(&mut self.scratch);
+        let mut total = 0;
         let end = loop {
             let Some(socket) = self.sockets.get_mut(key.slot).filter(|s| s.key == key) else {
                 break ReadEnd::Dry;
@@ -157,9 +174,15 @@
             if matches!(&socket.role, Role::Listener(c, _) if !c.wants_more()) {
                 break ReadEnd::Full;
             }
+            if total >= READ_BUDGET {
+                break ReadEnd::Spent;
+            }
             match socket.stream.read(&mut scratch) {
                 Ok(0) => break ReadEnd::Ended,
-                Ok(n) => self.received(key, &scratch[..n]),
+                Ok(n) => {
+                    total += n;
+                    self.received(key, &scratch[..n]);
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break ReadEnd::Dry,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => break ReadEnd::Ended,
@@ -172,7 +195,7 @@
     /// Hands on what was read.
     fn received(&mut self, key: Key, bytes: &[u8]) {
         let now = self.clock.now();
-        log::trace!("{key:?} brought {:?}", String::from_utf8_lossy(bytes));
+        log::trace!("{key:?} brought {:?}", String::from_utf8_lossy(&bytes[..bytes.len().min(LOGGED)]));
         let Some(socket) = self.socket(key) else { return };
         match &mut socket.role {
             Role::Listener(c, _) => {
@@ -198,25 +221,29 @@
 
     /// Writes what waits to be written.
     pub(super) fn flush(&mut self, key: Key) {
+        let now = self.clock.now();
         while let Some(socket) = self.socket(key).filter(|s| !s.connecting) {
             let outbox = socket.role.outbox();
             if outbox.unsent().is_empty() {
                 break;
             }
             match socket.stream.write(outbox.unsent()) {
-                Ok(n) => outbox.sent(n),
+                Ok(n) => {
+                    outbox.sent(n);
+                    if let Role::Listener(c, _) = &mut socket.role {
+                        c.used = now;
+                    }
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return self.broken(key),
             }
         }
-        let now = self.clock.now();
         let Some(Socket { role: Role::Listener(c, _), stream, .. }) = self.socket(key) else { return };
         if c.state() == State::Last && !c.shut {
             // The answer may still be on its way: closing now, with input unread, could cut it off.
             c.shut = true;
             let _ = stream.shutdown(Shutdown::Write); // fails only where the connection is gone already
-            self.set_deadline(key, now + LINGER);
         }
     }
 
@@ -251,13 +278,13 @@
         let Some(socket) = self.socket(key).filter(|s| s.deadline <= now) else { return };
         socket.deadline = f64::INFINITY;
         match &mut socket.role {
-            Role::Listener(c, _) if c.state() == State::Last => self.close(key),
-            Role::Listener(c, _) if c.is_partial() && now < c.used + PARTIAL_LIMIT => {
-                let until = c.used + PARTIAL_LIMIT;
-                self.set_deadline(key, until);
+            Role::Listener(c, _) if c.deadline() > now => self.mind(key),
+            Role::Listener(c, _) if c.is_partial() => {
+                let fault = c.give_up_request();
+                self.reply(key, now, false, |keep| http::response(fault.0, &[], b"", keep));
+                self.drive(key);
             }
-            Role::Listener(c, _) if c.is_partial() => self.close(key),
-            Role::Listener(..) => {} // the request that was awaited has come
+            Role::Listener(..) => self.broken(key),
             Role::Forward(c) => match c.task() {
                 Some(Task::Probe(worker)) if c.is_up() => {
                     self.close(key);
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -7,6 +7,8 @@
 /// And a head this much.
 pub const MAX_HEAD: usize = 16 * 1024;
 const MAX_HEADERS: usize = 64;
+/// Room that a buffer keeps when it has nothing in it.
+const KEPT_ROOM: usize = 4 * 1024;
 /// A chunk's size line holds this much at most.
 const MAX_CHUNK_LINE: usize = 256;
 
@@ -26,7 +28,7 @@
     }
 
     /// All values of a header.
-    fn all<'a, 'n>(&'a self, name: &'n str) -> impl Iterator<Item = &'a [u8]> + use<'a, 'n> {
+    pub fn all<'a, 'n>(&'a self, name: &'n str) -> impl Iterator<Item = &'a [u8]> + use<'a, 'n> {
         self.0.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_slice())
     }
 
@@ -35,8 +37,19 @@
         std::str::from_utf8(self.all(name).next()?).ok().map(str::trim)
     }
 
+    /// The value of a header that must not come twice. Guards against: two values of which each reader takes
+    /// another.
+    pub fn single(&self, name: &str) -> Result<Option<&str>, Fault> {
+        let mut values = self.all(name);
+        let first = values.next().map(|v| std::str::from_utf8(v).map_err(|_| BAD)).transpose()?;
+        match values.next() {
+            Some(_) => Err(BAD),
+            None => Ok(first.map(str::trim)),
+        }
+    }
+
     /// Whether a header's comma-separated values name this one.
-    fn names(&self, name: &str, token: &str) -> bool {
+    pub fn names(&self, name: &str, token: &str) -> bool {
         let text = |v| std::str::from_utf8(v).unwrap_or("");
         self.all(name).flat_map(|v| text(v).split(',')).any(|t| t.trim().eq_ignore_ascii_case(token))
     }
@@ -138,7 +151,10 @@
 /// Takes bytes as they come and gives whole messages.
 pub struct Decoder<S> {
     buffer: Vec<u8>,
-    /// Up to here no head has ended.
+    /// Up to here the buffer is done with. Guards against: thousands of tiny chunks or requests in one buffer, for
+    /// each of which all that follows would be moved.
+    done: usize,
+    /// From there on so much has been looked through in which no head ends.
     scanned: usize,
     begun: Option<(Message<S>, Framing)>,
 }
@@ -146,22 +162,43 @@
 impl<S: StartLine> Decoder<S> {
     /// Nothing read yet.
     pub fn new() -> Self {
-        Decoder { buffer: Vec::new(), scanned: 0, begun: None }
+        Decoder { buffer: Vec::new(), done: 0, scanned: 0, begun: None }
     }
 
     /// Takes in bytes.
     pub fn feed(&mut self, bytes: &[u8]) {
+        self.buffer.drain(..std::mem::take(&mut self.done));
         self.buffer.extend_from_slice(bytes);
     }
 
     /// Whether nothing of a further message has come.
     pub fn is_empty(&self) -> bool {
-        self.buffer.is_empty() && self.begun.is_none()
+        self.rest().is_empty() && self.begun.is_none()
     }
 
     /// Whether it holds more than one message can need, so that nothing should be read before it is taken.
     pub fn is_full(&self) -> bool {
-        self.buffer.len() > MAX_HEAD + MAX_BODY
+        self.rest().len() > MAX_HEAD + MAX_BODY
+    }
+
+    /// Gives memory back. Guards against: hundreds of connections that each keep room for the largest body.
+    fn slim(&mut self) {
+        if self.rest().is_empty() {
+            self.done = 0;
+            self.buffer.clear();
+            self.buffer.shrink_to(KEPT_ROOM);
+        }
+    }
+
+    /// What is still to be read.
+    fn rest(&self) -> &[u8] {
+        &self.buffer[self.done..]
+    }
+
+    /// Takes so many bytes of it.
+    fn take(&mut self, n: usize) -> &[u8] {
+        self.done += n;
+        &self.buffer[self.done - n..self.done]
     }
 
     /// Whether the head has come and its sender waits for a word before the body.
@@ -182,7 +219,10 @@
                     return Ok(None);
                 }
                 Step::Next(next) => framing = next,
-                Step::Done => return Ok(Some(message)),
+                Step::Done => {
+                    self.slim();
+                    return Ok(Some(message));
+                }
             }
         }
     }
@@ -195,18 +235,18 @@
     fn head(&mut self) -> Result<Option<(Message<S>, Framing)>, Fault> {
         // Guards against: a head that trickles in and would be parsed from its start for every byte.
         let from = self.scanned.saturating_sub(3);
-        let new = &self.buffer[from.min(self.buffer.len())..];
+        let (have, new) = (self.rest().len(), &self.rest()[from.min(self.rest().len())..]);
         let ends = new.windows(3).any(|w| w == b"\n\r\n") || new.windows(2).any(|w| w == b"\n\n");
-        self.scanned = self.buffer.len();
+        self.scanned = have;
         if !ends {
-            return if self.buffer.len() > MAX_HEAD { Err(Fault(431)) } else { Ok(None) };
+            return if have > MAX_HEAD { Err(Fault(431)) } else { Ok(None) };
         }
-        let Some((line, minor, headers, len)) = S::parse(&self.buffer)? else { return Ok(None) };
+        let Some((line, minor, headers, len)) = S::parse(self.rest())? else { return Ok(None) };
         if len > MAX_HEAD {
             return Err(Fault(431));
         }
         let framing = framing(&line, &headers)?;
-        self.buffer.drain(..len);
+        self.take(len);
         self.scanned = 0;
         let close = headers.names("connection", "close");
         let keep_alive = !close && (minor > 0 || headers.names("connection", "keep-alive"));
@@ -215,48 +255,45 @@
     }
 
     fn step(&mut self, body: &mut Vec<u8>, framing: Framing) -> Result<Step, Fault> {
-        let have = self.buffer.len();
+        let have = self.rest().len();
         match framing {
             Framing::Length(want) if want > MAX_BODY => Err(Fault(413)),
             Framing::Length(want) if have < want => Ok(Step::More),
             Framing::Length(want) => {
-                body.extend(self.buffer.drain(..want));
+                body.extend_from_slice(self.take(want));
                 Ok(Step::Done)
             }
             Framing::ToEnd => {
-                body.append(&mut self.buffer);
+                body.extend_from_slice(self.take(have));
                 if body.len() > MAX_BODY {
                     return Err(Fault(413));
                 }
                 Ok(Step::More)
             }
-            Framing::ChunkSize => match httparse::parse_chunk_size(&self.buffer).map_err(|_| BAD)? {
+            Framing::ChunkSize => match httparse::parse_chunk_size(self.rest()).map_err(|_| BAD)? {
                 httparse::Status::Partial if have > MAX_CHUNK_LINE => Err(BAD),
                 httparse::Status::Partial => Ok(Step::More),
                 httparse::Status::Complete((_, size)) if size > (MAX_BODY - body.len()) as u64 => {
                     Err(Fault(413))
                 }
                 httparse::Status::Complete((line, size)) => {
-                    self.buffer.drain(..line);
+                    self.take(line);
                     let next = if size == 0 { Framing::Trailer } else { Framing::Chunk(size as usize + 2) };
                     Ok(Step::Next(next))
                 }
             },
             Framing::Chunk(want) if have < want => Ok(Step::More),
             Framing::Chunk(want) => {
-                if !self.buffer[..want].ends_with(b"\r\n") {
-                    return Err(BAD);
-                }
-                body.extend_from_slice(&self.buffer[..want - 2]);
-                self.buffer.drain(..want);
+                let chunk = self.take(want).strip_suffix(b"\r\n").ok_or(BAD)?;
+                body.extend_from_slice(chunk);
                 Ok(Step::Next(Framing::ChunkSize))
             }
-            Framing::Trailer => match self.buffer.iter().position(|b| *b == b'\n') {
+            Framing::Trailer => match self.rest().iter().position(|b| *b == b'\n') {
                 None if have > MAX_HEAD => Err(Fault(431)),
                 None => Ok(Step::More),
                 Some(end) => {
-                    let line: Vec<u8> = self.buffer.drain(..=end).collect();
-                    Ok(if line.trim_ascii().is_empty() { Step::Done } else { Step::Next(Framing::Trailer) })
+                    let last = self.take(end + 1).trim_ascii().is_empty();
+                    Ok(if last { Step::Done } else { Step::Next(Framing::Trailer) })
                 }
             },
         }
@@ -309,6 +346,7 @@
         408 => "Request Timeout",
         409 => "Conflict",
         413 => "Content Too Large",
+        417 => "Expectation Failed",
         431 => "Request Header Fields Too Large",
         501 => "Not Implemented",
         502 => "Bad Gateway",
@@ -363,8 +401,8 @@
     pub fn sent(&mut self, n: usize) {
         self.sent += n;
         if self.sent >= self.bytes.len() {
-            self.bytes.clear();
-            self.sent = 0;
+            self.clear();
+            self.bytes.shrink_to(KEPT_ROOM);
         }
     }
 
--- a/node/src/intake.rs
+++ b/node/src/intake.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Millis;
 use crate::http::{self, Headers, Message, RequestLine};
-use postusher::Micros;
+use postusher::{Effect, Micros};
 use postusher_settings::Site;
 
 /// What a scheduler has to know of a job.
@@ -48,6 +48,10 @@
 const UP: &str = "/up";
 /// The header with a client's id for its job.
 const TRACE: &str = "X-Trace-Id";
+/// No machine has more slots than this.
+const MOST_SLOTS: u16 = 1024;
+/// Headers by which a target goes, too.
+const OWN: [&str; 6] = [TRACE, "X-Qos", "X-Object", "X-Size-Hint", "X-Props", "Idempotency-Key"];
 const EXPIRES: &str = "X-Expires-In";
 /// Headers that concern one connection, and those written anew for each attempt.
 const NOT_PASSED: [&str; 11] = [
@@ -79,25 +83,38 @@
 fn job(message: Message<RequestLine>, site: &Site) -> Result<Job, u16> {
     let Message { line, headers, body, .. } = message;
     let path = line.target.split('?').next().unwrap_or("");
-    let first = path.trim_start_matches('/').split('/').next().unwrap_or("");
-    let number = |name: &str| site.classes.iter().position(|(n, _)| n == name);
-    let class = number(headers.get("X-Qos").unwrap_or(first)).or_else(|| number(first)).ok_or(404u16)?;
+    let first = path.strip_prefix('/').and_then(|p| p.split('/').next()).ok_or(400u16)?;
+    // Guards against: what a target would refuse or take for something else. All that the scheduler or a target
+    // goes by must be there once and be readable, or the job goes nowhere.
+    let single = |name: &str| headers.single(name).map_err(|fault| fault.0);
+    let class = site.classes.iter().position(|(n, _)| n == first).ok_or(404u16)?;
+    if let Some(other) = single("X-Qos")?.filter(|name| *name != first) {
+        let known = site.classes.iter().any(|(n, _)| n == other);
+        return Err(if known { 400 } else { 404 });
+    }
     if line.method != "POST" {
         return Err(405);
     }
-    let trace = headers.get(TRACE).filter(|id| is_id(id)).ok_or(400u16)?.to_string();
-    let wait = match headers.get(EXPIRES) {
+    let trace = single(TRACE)?.filter(|id| is_id(id)).ok_or(400u16)?.to_string();
+    let wait = match single(EXPIRES)? {
         Some(text) => millis(text, 1.0).ok_or(400u16)?,
         None => site.classes[class].1,
     };
-    let hint = headers.get("X-Size-Hint").and_then(|text| millis(text, 1e-3));
-    let slots = headers.get("X-Props").and_then(|props| prop(props, "slots"));
+    let hint = single("X-Size-Hint")?.map(|text| millis(text, 1e-3).ok_or(400u16)).transpose()?;
+    let slots = single("X-Props")?.map(|text| props(text).ok_or(400u16)).transpose()?.flatten();
+    let keyed = matches!(site.settings.classes[class].effect, Effect::ByKey { .. });
+    if single("Idempotency-Key")?.is_none_or(str::is_empty) && keyed || single("Host").is_err() {
+        return Err(400);
+    }
+    if headers.all("Expect").any(|v| !v.eq_ignore_ascii_case(b"100-continue")) {
+        return Err(417);
+    }
     Ok(Job {
         trace,
         class: class as u16,
-        key: headers.get("X-Object").map_or(0, key),
+        key: single("X-Object")?.map_or(0, key),
         hint: hint.map(postusher_settings::micros),
-        slots: slots.unwrap_or(1.0).clamp(1.0, 65_535.0) as u32,
+        slots: slots.unwrap_or(1),
         wait,
         payload: Payload { line, headers, body },
     })
@@ -118,13 +135,22 @@
     };
     let time = number.trim().parse::<f64>().ok()? * unit;
     // A day is longer than anyone waits, and keeps sums of times exact.
-    time.is_finite().then(|| time.clamp(0.0, 86_400_000.0))
+    (time.is_finite() && time >= 0.0).then(|| time.min(86_400_000.0))
 }
 
-/// A figure of `name=value,name=value`.
-fn prop(props: &str, name: &str) -> Option<f64> {
-    let named = props.split(',').filter_map(|p| p.split_once('=')).find(|(n, _)| n.trim() == name)?;
-    named.1.trim().parse::<f64>().ok().filter(|v| v.is_finite())
+/// The slots of `name=value,name=value`, if they are there; `None` where any of it cannot be meant.
+fn props(text: &str) -> Option<Option<u32>> {
+    let mut slots = None;
+    for prop in text.split(',').filter(|p| !p.trim().is_empty()) {
+        let (name, value) = prop.split_once('=')?;
+        let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0)?;
+        if name.trim() == "slots" {
+            let whole = value >= 1.0 && value <= f64::from(MOST_SLOTS) && value.fract() == 0.0;
+            let first = slots.replace(value as u32).is_none();
+            (whole && first).then_some(())?;
+        }
+    }
+    Some(slots)
 }
 
 /// A key as a number, the same at every scheduler: what is no hexadecimal number is hashed (FNV-1a).
@@ -141,7 +167,10 @@
     /// The message for a target that is waited for so long.
     pub fn request(&self, left: Millis) -> Vec<u8> {
         let left = format!("{}u", (left.max(0.0) * 1e3) as u64);
-        let passed = |name: &str| !NOT_PASSED.iter().any(|n| n.eq_ignore_ascii_case(name));
+        // What `Connection` names besides is between the client and this scheduler.
+        let own = |name: &str| OWN.iter().any(|n| n.eq_ignore_ascii_case(name));
+        let hop = |name: &str| !own(name) && self.headers.names("connection", name);
+        let passed = |name: &str| !NOT_PASSED.iter().any(|n| n.eq_ignore_ascii_case(name)) && !hop(name);
         let own = self.headers.0.iter().filter(|(n, _)| passed(n)).map(|(n, v)| (n.as_str(), v.as_slice()));
         let headers: Vec<_> = own.chain([(EXPIRES, left.as_bytes())]).collect();
         http::request(&self.line, &headers, &self.body)
@@ -174,7 +203,7 @@
     fn a_job_is_read_with_all_its_figures() {
         let job = job_of(
             "POST /fund/x?y=1 HTTP/1.1\r\nX-Trace-Id: 9b1f\r\nX-Qos: fund\r\nX-Object: 7f3a9c21e0b4d655\r\n\
-             X-Expires-In: 480m\r\nX-Size-Hint: 2500\r\nX-Props: slots=4,memory=0.5\r\nContent-Length: 2\r\n\r\nab",
+             Idempotency-Key: k\r\nX-Expires-In: 480m\r\nX-Size-Hint: 2500\r\nX-Props: slots=4,memory=0.5\r\nContent-Length: 2\r\n\r\nab",
         );
         let job = job.unwrap();
         assert_eq!((job.class, job.key, job.hint), (1, 0x7f3a_9c21_e0b4_d655, Some(2_500)));
@@ -186,7 +215,7 @@
     fn what_a_target_gets_is_what_the_client_sent() {
         let job = job_of(
             "POST /render/a?b=%20c HTTP/1.1\r\nHost: o.svc\r\nX-Trace-Id: t1\r\nIdempotency-Key: k\r\n\
-             X-Expires-In: 480m\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+             X-Expires-In: 480m\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
         );
         let sent = String::from_utf8(job.unwrap().payload.request(250.0)).unwrap();
         let expected =
@@ -203,6 +232,22 @@
             ("POST /render HTTP/1.1\r\n\r\n", 400),
             ("POST /render HTTP/1.1\r\nX-Trace-Id: a/../b\r\n\r\n", 400),
             ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Expires-In: soon\r\n\r\n", 400),
+            ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Expires-In: -5m\r\n\r\n", 400),
+            ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Expires-In: NaNm\r\n\r\n", 400),
+            ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Expires-In: 5m\r\nX-Expires-In: 6m\r\n\r\n", 400),
+            ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Trace-Id: b\r\n\r\n", 400),
+            ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Qos: gold\r\n\r\n", 404),
+            ("POST /gold HTTP/1.1\r\nX-Trace-Id: a\r\nX-Qos: render\r\n\r\n", 404),
+            ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Qos: fund\r\n\r\n", 400),
+            ("POST render HTTP/1.1\r\nX-Trace-Id: a\r\n\r\n", 400),
+            ("POST //render HTTP/1.1\r\nX-Trace-Id: a\r\n\r\n", 404),
+            ("POST /fund HTTP/1.1\r\nX-Trace-Id: a\r\n\r\n", 400),
+            ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Size-Hint: huge\r\n\r\n", 400),
+            ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Props: slots=-1\r\n\r\n", 400),
+            ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Props: slots=1,slots=2\r\n\r\n", 400),
+            ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Props: slots\r\n\r\n", 400),
+            ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nHost: a\r\nHost: b\r\n\r\n", 400),
+            ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nExpect: wonders\r\n\r\n", 417),
             ("DELETE /up HTTP/1.1\r\n\r\n", 405),
             ("GET /_jobs/news HTTP/1.1\r\n\r\n", 405),
         ];
--- a/node/src/listener.rs
+++ b/node/src/listener.rs
@@ -5,7 +5,13 @@
 use crate::http::{Decoder, Fault, Message, Outbox, RequestLine, MAX_BODY};
 
 /// For so long the first request on a new connection may be on its way.
-const NEW: Millis = 1_000.0;
+const NEW: Millis = 100.0;
+/// A request must be whole within this time: the first from the connection's start, any other from its first byte.
+pub const WHOLE: Millis = 2_500.0;
+/// After its last answer a connection is kept this long for the client to read it and close.
+const LINGER: Millis = 2_000.0;
+/// So long an answer may wait for its client to read on.
+const STALLED: Millis = 10_000.0;
 
 /// How far a connection is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,7 +36,10 @@
     has_served: bool,
     /// Its sending side is shut.
     pub shut: bool,
-    /// When something last came or went.
+    opened: Millis,
+    /// When the request that has come in part began.
+    begun: Millis,
+    /// When something last came or went, but for what comes after the last answer.
     pub used: Millis,
     /// It has brought news, so it belongs to a target.
     pub brings_news: bool,
@@ -47,6 +56,8 @@
             told_to_go_on: false,
             has_served: false,
             shut: false,
+            opened: now,
+            begun: now,
             used: now,
             brings_news: false,
         }
@@ -54,8 +65,11 @@
 
     /// Takes in what was read.
     pub fn receive(&mut self, bytes: &[u8], now: Millis) {
-        self.used = now;
         if self.state != State::Last {
+            if self.decoder.is_empty() && self.has_served {
+                self.begun = now;
+            }
+            self.used = now;
             self.decoder.feed(bytes);
         }
     }
@@ -99,6 +113,7 @@
             self.outbox.put(bytes);
             self.used = now;
             self.has_served = true;
+            self.begun = now;
             self.state = if keep { State::Open } else { State::Last };
         }
     }
@@ -116,26 +131,74 @@
     /// Whether it may be closed for want of descriptors, or at the end. Guards against: closing a new connection
     /// on its first request, which the client then takes for lost.
     pub fn may_close(&self, now: Millis) -> bool {
-        self.is_idle() && (self.has_served || now >= self.used + NEW)
+        self.is_idle() && (self.has_served || now >= self.opened + NEW)
+    }
+
+    /// Whether it has had an answer to anything.
+    pub fn has_served(&self) -> bool {
+        self.has_served
     }
 
     /// Whether part of a request has come and the rest is awaited.
     pub fn is_partial(&self) -> bool {
         self.state == State::Open && !self.decoder.is_empty()
     }
+
+    /// Gives up waiting for the rest of a request; says what its client is owed for it.
+    pub fn give_up_request(&mut self) -> Fault {
+        (self.state, self.last) = (State::Busy, true);
+        Fault(408)
+    }
+
+    /// Until when it can stay as it is. Guards against: clients that say nothing, or begin and never end, or read
+    /// no answer, each of which would hold a descriptor for ever. One that stands idle between requests may stay.
+    pub fn deadline(&self) -> Millis {
+        match self.state {
+            _ if !self.outbox.unsent().is_empty() => self.used + STALLED,
+            State::Busy => f64::INFINITY,
+            State::Last => self.used + LINGER,
+            State::Open if self.is_partial() => self.begun + WHOLE,
+            State::Open if self.has_served => f64::INFINITY,
+            State::Open => self.opened + WHOLE,
+        }
+    }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    const UP: &[u8] = b"GET /up HTTP/1.1\r\n\r\n";
+
     #[test]
     fn a_new_connection_is_left_alone_until_its_first_request_must_have_come() {
         let mut c = Connection::new(5.0);
         assert!(c.is_idle() && !c.may_close(5.0 + NEW / 2.0) && c.may_close(5.0 + NEW));
-        c.receive(b"GET /up HTTP/1.1\r\n\r\n", 6.0);
+        c.receive(UP, 6.0);
         assert!(c.next().is_some() && !c.may_close(1e9));
         c.answer(b"", true, 7.0);
         assert!(c.may_close(7.0));
     }
+
+    #[test]
+    fn nobody_holds_a_connection_by_saying_nothing_or_half_of_it_or_by_reading_nothing() {
+        let mut c = Connection::new(5.0);
+        assert_eq!(c.deadline(), 5.0 + WHOLE);
+        // A trickle does not put it off.
+        c.receive(&UP[..5], 100.0);
+        c.receive(&UP[5..9], 2_000.0);
+        assert!(c.deadline() == 5.0 + WHOLE && c.is_partial());
+        c.receive(&UP[9..], 2_100.0);
+        assert!(c.next().is_some() && c.deadline().is_infinite());
+        c.answer(b"ab", true, 2_200.0);
+        assert_eq!(c.deadline(), 2_200.0 + STALLED);
+        c.outbox.sent(2);
+        assert!(c.deadline().is_infinite()); // kept between requests
+        c.receive(&UP[..5], 9_000.0);
+        assert_eq!(c.deadline(), 9_000.0 + WHOLE);
+        assert_eq!(c.give_up_request(), Fault(408));
+        c.answer(b"", c.keeps(true), 12_000.0);
+        c.receive(UP, 13_000.0);
+        assert!(c.state() == State::Last && c.deadline() == 12_000.0 + LINGER);
+    }
 }
--- a/node/src/model.rs
+++ b/node/src/model.rs
@@ -219,7 +219,7 @@
             (0..=3, _) => {
                 let class = if which.is_multiple_of(3) { "fund" } else { "render" };
                 let text =
-                    format!("POST /{class} HTTP/1.1\r\nX-Trace-Id: t{n}\r\nX-Expires-In: 5000m\r\n\r\n");
+                    format!("POST /{class} HTTP/1.1\r\nX-Trace-Id: t{n}\r\nIdempotency-Key: k\r\nX-Expires-In: 5000m\r\n\r\n");
                 let (client, job) = (Key::test(n), job_of(&text).unwrap());
                 let id = self.dispatch.arrived(client, job, self.now).unwrap();
                 self.ids.insert(id, n);
