A job that runs out of its own short time no longer counts against its target

Faulty lines: rules.rs settled(), where every time-out went into the strain as FAILED, as bad as running 20 times slower, so that targets in good health were left out. Now a time-out counts by what it took, as a withdrawn attempt does. A test in tests/health.rs fails without it. Kept because the fault is plain; the gain is not shown.

--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -303,6 +303,9 @@
     fn answer(&mut self, id: JobId, answer: Answer) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
         r.answered = true;
+        if !matches!(answer, Answer::Served(_)) {
+            log::debug!("{} of class {}, {} slots: {answer:?}", r.trace, r.job.class, r.job.slots);
+        }
         match answer {
             Answer::Served(_) => self.counts.served += 1,
             Answer::Refused { .. } => self.counts.refused += 1,
@@ -367,6 +370,10 @@
         if holds(Invariant::SettledOnce, l.out) {
             l.out = false;
             let latency = micros(now - l.sent);
+            if ending != Ending::Ok {
+                let (name, ms) = (&l.name, now - l.sent);
+                log::debug!("{} attempt {leg} at {name} after {ms:.0} ms: {ending:?}", r.trace);
+            }
             self.events.push(Event::Settled(Outcome { job, leg, ending, latency, done, report }));
             self.doubtful.push(job);
         }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -528,8 +528,10 @@
         self.fares(worker, class, o.ending, roomy);
         match o.ending {
             Ending::Ok => self.observe(worker, sample.clamp(-1.0, FAILED)),
-            Ending::Cancelled if sample > SICK => self.observe(worker, sample.min(FAILED)),
-            Ending::Cancelled | Ending::Moot => {}
+            // Guards against: jobs with little time left that speak against workers in good health. An attempt
+            // that was given up shows what it has taken so far, and that it may have gone on.
+            Ending::Cancelled | Ending::Timeout if sample > SICK => self.observe(worker, sample.min(FAILED)),
+            Ending::Cancelled | Ending::Timeout | Ending::Moot => {}
             _ if roomy => {}
             _ => self.observe(worker, FAILED),
         }
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -212,3 +212,24 @@
     }
     assert!(after >= 100 * MS, "{after}");
 }
+
+#[test]
+fn jobs_that_run_out_of_their_own_time_do_not_speak_against_their_worker() {
+    let mut rig = Rig::new(settings(), 3);
+    for id in 1..=60 {
+        let worker = rig.job(id, 0, 1).unwrap();
+        rig.now += 100 * MS;
+        rig.settle(id, 0, Ending::Ok);
+        // A second one goes out with less time than such jobs take.
+        let short =
+            Job { id: JobId(1_000 + id), class: 0, expires: rig.now + 50 * MS, hint: None, slots: 1, key: 0 };
+        rig.play(Event::Arrived(short));
+        rig.now += 50 * MS;
+        let latency = 50 * MS;
+        let outcome =
+            |ending| Outcome { job: JobId(1_000 + id), leg: 0, ending, latency, done: false, report: vec![] };
+        rig.play(Event::Settled(outcome(Ending::Timeout)));
+        assert!(!rig.dispatcher.ejected(WorkerId(worker)), "ejected after {id}");
+    }
+    assert!((1..=3).all(|w| !rig.dispatcher.ejected(WorkerId(w))));
+}
