--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,8 +33,8 @@
 const BY_STARTS: f64 = 3.0; // part of that, as a divisor, where only starts tell of queues, in the mean
 const CHANCE: f64 = 1.0; // margin for what all send a cold worker, in roots of mean jobs: it's partly chance
 const COLD_SPARED: f64 = 0.3; // colder ones get jobs only when no slot is free elsewhere: most would be late
-const KEEPERS: usize = 3; // where fetches have a price, so many keep what a key needs: one may be busy
-const FETCH: i64 = 1; // slots that a job seems to wait for, at least, where it would have to fetch
+const KEEPERS: usize = 2; // where fetches have a price, so many keep what a key needs: one may be busy
+const FETCH: i64 = 2; // slots that a job seems to wait for, at least, where it would have to fetch
 const LOOK: usize = 12; // looked at for a job in bucket order (4 times that if none fits), and heard of last
 
 impl Dispatcher {
@@ -252,7 +252,7 @@
         // The coldest are spared: as if one slot had to be waited for.
         let fetch = if r.lacks_at(w) { FETCH } else { 0 };
         let wait = (k - room).max(i64::from(warmth <= COLD_SPARED)) + fetch;
-        let enough = wait <= most && (room >= k || warmth >= 1.0 && !w.on_trial());
+        let enough = wait - (fetch - 1).max(0) <= most && (room >= k || warmth >= 1.0 && !w.on_trial());
         let allowed = match r.class.effect {
             Effect::Repeatable => true,
             // A keyed job that may have run stays with the workers that drop its repeats.
