--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -223,7 +223,7 @@
         went
     };
     let all: std::collections::BTreeSet<u32> = (0..20).flat_map(went).collect();
-    assert!((1..=3).contains(&all.len()), "{all:?}");
+    assert!((1..=2).contains(&all.len()), "{all:?}");
 }
 
 #[test]
