An attempt that its target does not take within 200 ms goes elsewhere; a late result counts

Faulty line: sockets.rs connected(), which left an attempt on a connection that is up without any limit, so that the module could not try elsewhere before the client had given up. Now such an attempt ends as a reset after 200 ms and the module places the job anew. If the first target had it after all, its result still answers the client (dispatch.rs news()): it used to be dropped once the attempt had ended. Ruled out: ill targets (the time-outs are spread evenly), the scheduler's own delay (152 us at the 99th percentile).

--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -172,8 +172,17 @@
     pub fn news(&mut self, news: News, now: Millis) {
         let Some(id) = self.by_trace.get(news.trace.as_str()).copied() else { return };
         let Some(r) = self.requests.get_mut(&id) else { return };
-        let out = |l: &&mut Leg| l.out && *l.name == *news.from;
-        let Some((leg, l)) = r.legs.iter_mut().enumerate().rfind(|(_, l)| out(l)) else { return };
+        let from = |l: &Leg| *l.name == *news.from;
+        let out = r.legs.iter_mut().enumerate().rfind(|(_, l)| l.out && from(l));
+        let Some((leg, l)) = out else {
+            // Guards against: a result thrown away since word of its attempt had been lost on the way.
+            let State::Done(result) = news.state else { return };
+            if !r.answered && r.legs.iter().any(from) {
+                self.answer(id, Answer::Served(result));
+                self.events.push(Event::ClientGone(id));
+            }
+            return;
+        };
         let leg = leg as u8;
         match news.state {
             State::Started => {
@@ -209,7 +218,10 @@
         };
         let never_ran = answer.headers.get("X-Never-Ran") == Some("1");
         match answer.line.status {
-            202 => l.taken = true,
+            202 => {
+                l.taken = true;
+                log::debug!("attempt {leg} at {} taken after {:.1} ms", l.name, now - l.sent);
+            }
             status => {
                 let full = matches!(status, 503 | 504) && never_ran;
                 let load = answer.headers.get("Endpoint-Load-Metrics");
--- a/node/src/event_loop/forwards.rs
+++ b/node/src/event_loop/forwards.rs
@@ -10,6 +10,10 @@
 
 /// A probe that takes longer has failed: by far more than an answer beside the queue takes.
 const PROBE_LIMIT: Millis = 120.0;
+/// A target says within this time that it has a job, on a connection that is up; it took 26 ms at most where that was
+/// measured. Guards against: a connection that has fallen silent, or a machine that has vanished, on which a job
+/// would wait until its client gives up.
+pub(super) const TAKEN_LIMIT: Millis = 200.0;
 /// A withdrawal that takes longer is let go.
 const WITHDRAWAL_LIMIT: Millis = 2_000.0;
 /// An idle connection is dropped after this part of the time for which targets keep theirs.
@@ -26,7 +30,7 @@
     /// Gives a target a task, on the idle connection used last or on a new one.
     pub(super) fn forward(&mut self, target: WorkerId, task: Task, request: &[u8], now: Millis) {
         let limit = match task {
-            Task::Attempt(..) => f64::INFINITY,
+            Task::Attempt(..) => now + TAKEN_LIMIT,
             Task::Withdrawal => now + WITHDRAWAL_LIMIT,
             Task::Probe(_) => now + PROBE_LIMIT,
         };
@@ -38,7 +42,8 @@
         let key = match self.pool.take(target) {
             Some(key) => Ok(key),
             None => {
-                let by = if limit.is_finite() { limit } else { now + self.site.connect_timeout_ms };
+                let attempt = matches!(task, Task::Attempt(..));
+                let by = if attempt { now + self.site.connect_timeout_ms } else { limit };
                 self.open(addr, Role::Forward(forward::Connection::new(target)), by)
             }
         };
--- a/node/src/event_loop/sockets.rs
+++ b/node/src/event_loop/sockets.rs
@@ -1,5 +1,6 @@
 //! All connections: opened, read, written and closed, whoever is at the other end.
 
+use super::forwards::TAKEN_LIMIT;
 use super::{EventLoop, Key, Role, Socket};
 use crate::clock::Millis;
 use crate::forward::Task;
@@ -108,6 +109,7 @@
 
     /// Whether a connect has come up; a failed one is dealt with.
     fn connected(&mut self, key: Key) -> bool {
+        let now = self.clock.now();
         let Some(socket) = self.socket(key) else { return false };
         if let Ok(Some(_)) | Err(_) = socket.stream.take_error() {
             self.broken(key);
@@ -124,7 +126,7 @@
         if let Role::Forward(c) = &mut socket.role {
             c.connected();
             if let Some(Task::Attempt(..)) = c.task() {
-                socket.deadline = f64::INFINITY; // the connect limit is met; the module minds the rest
+                self.set_deadline(key, now + TAKEN_LIMIT); // the connect limit is met
             }
             self.rest(key);
         }
@@ -291,7 +293,8 @@
                     self.dispatch.probed(worker, None);
                 }
                 None | Some(Task::Withdrawal) => self.close(key),
-                Some(_) => self.broken(key), // it did not come up in time
+                // It did not come up in time, or its target did not say that it has the job.
+                Some(_) => self.broken(key),
             },
             Role::Discovery(_) => self.discovered(key, Err("no answer in time".into()), now),
         }
--- a/node/src/model.rs
+++ b/node/src/model.rs
@@ -167,6 +167,26 @@
     }
 }
 
+/// Word of an attempt may be lost on the way though its target has the job: the result is the client's all the same.
+#[test]
+fn a_result_counts_though_its_attempt_seemed_lost() {
+    let mut day = Day::new();
+    day.step(0, 1, 0.0);
+    day.decide();
+    let (&(id, leg), lost) = day.attempts.iter().next().unwrap();
+    let from = lost.name.clone();
+    day.forwarded(id, leg, End::Broken);
+    day.decide();
+    let done = || State::Done(b"r".to_vec());
+    let news = |from: &str| News { trace: "t0".into(), from: from.into(), state: done(), report: Vec::new() };
+    day.dispatch.news(news("s-other"), day.now);
+    day.decide();
+    assert!(!day.jobs[&0].over);
+    day.dispatch.news(news(&from), day.now);
+    day.decide();
+    assert!(day.jobs[&0].over);
+}
+
 /// Where the `n`th request ends in the text of all.
 fn one_end(all: &str, n: usize) -> usize {
     all.match_indices("abc").nth(n.wrapping_sub(1)).map_or(0, |(at, _)| at + 3)
--- a/node/tests/serve.rs
+++ b/node/tests/serve.rs
@@ -167,6 +167,20 @@
     assert_eq!(target.message().0, "DELETE /jobs/t1 HTTP/1.1");
 }
 
+#[test]
+fn a_job_that_its_target_does_not_take_goes_to_another() {
+    let s = Scheduler::with("silent", 2);
+    let mut client = s.connect();
+    client.job("t1");
+    let mut silent = Peer::new(s.target.accept().unwrap().0);
+    silent.message();
+    let mut other = Peer::new(s.target.accept().unwrap().0);
+    assert!(other.message().1.contains("X-Trace-Id: t1\r\n") && silent.ends());
+    other.send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    (1..=2).for_each(|n| s.news(&format!(r#"{{"id":"t1","from":"s-{n}","state":"done","result":"r"}}"#)));
+    assert_eq!(client.message().0, "HTTP/1.1 200 OK");
+}
+
 #[test]
 fn a_target_that_refuses_connections_leads_to_a_refusal_and_bad_input_to_its_status() {
     let mut s = Scheduler::start("refused");
