A kept connection that breaks under a job is no fault of its target; the job may go back there

Measured by how long the connection had stood idle (a probe, taken out again): 5% of those idle for under 0.1 s broke, 26% from 0.1 to 0.25 s, 33% from 0.25 to 0.5 s, 10% of the new ones. So the connections were at fault. Faulty lines: forward.rs broken(), which told a reset on a kept connection from no other; rules.rs settled(), where each counted as FAILED against its target, and rank(), which closed that target to the job for good. Now such an end has a name of its own (Stale): it does not touch the target's health or the retry budget, the target's other idle connections are closed, and the job may go back there on a new one.

--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -211,8 +211,10 @@
         let Some(l) = l.filter(|l| l.out) else { return };
         let answer = match end {
             // Its news may have come first: a break says nothing of a job that the target has.
-            End::Broken if l.taken => return,
+            End::Broken | End::Stale { .. } if l.taken => return,
             End::Broken => return self.settle(id, leg, Ending::Reset, Vec::new(), now),
+            End::Stale { sent: true } => return self.settle(id, leg, Ending::Stale, Vec::new(), now),
+            End::Stale { sent: false } => return self.settle(id, leg, Ending::Moot, Vec::new(), now),
             End::NotSent => return self.settle(id, leg, Ending::ConnectFailed, Vec::new(), now),
             End::Answer(answer) => answer,
         };
@@ -241,6 +243,7 @@
             }
             Some(End::NotSent) => (Ending::ConnectFailed, Vec::new()),
             Some(End::Broken) => (Ending::Reset, Vec::new()),
+            Some(End::Stale { .. }) => (Ending::Stale, Vec::new()),
             None => (Ending::Timeout, Vec::new()),
         };
         self.events.push(Event::Probed { worker, ending, report });
--- a/node/src/event_loop/sockets.rs
+++ b/node/src/event_loop/sockets.rs
@@ -294,7 +294,10 @@
                 }
                 None | Some(Task::Withdrawal) => self.close(key),
                 // It did not come up in time, or its target did not say that it has the job.
-                Some(_) => self.broken(key),
+                Some(_) => {
+                    c.silent();
+                    self.broken(key);
+                }
             },
             Role::Discovery(_) => self.discovered(key, Err("no answer in time".into()), now),
         }
--- a/node/src/forward.rs
+++ b/node/src/forward.rs
@@ -26,6 +26,8 @@
     NotSent,
     /// After that, without an answer.
     Broken,
+    /// On a kept connection that broke: before its last byte was written, or after.
+    Stale { sent: bool },
 }
 
 /// A connection to a target.
@@ -36,6 +38,9 @@
     /// The request on its way.
     pub outbox: Outbox,
     task: Option<Task>,
+    /// It has brought an answer before the task at hand. Guards against: one that stood idle and was cut off by
+    /// something on the way, taken for a target in ill health.
+    kept: bool,
     up: bool,
     open: bool,
 }
@@ -44,7 +49,7 @@
     /// A connection that is being opened.
     pub fn new(target: WorkerId) -> Self {
         let (decoder, outbox) = (Decoder::new(), Outbox::default());
-        Connection { target, decoder, outbox, task: None, up: false, open: true }
+        Connection { target, decoder, outbox, task: None, kept: false, up: false, open: true }
     }
 
     /// Begins a task with its request.
@@ -100,6 +105,7 @@
         // An answer before the request's last byte leaves the rest of it unread.
         self.open &= message.keep_alive && self.decoder.is_empty() && self.outbox.unsent().is_empty();
         let task = self.task.take();
+        self.kept = true;
         self.open &= task.is_some();
         Some((task?, End::Answer(message)))
     }
@@ -110,12 +116,18 @@
         let whole = self.decoder.end();
         let end = match whole {
             Some(message) => End::Answer(message),
+            None if self.kept => End::Stale { sent: self.outbox.unsent().is_empty() },
             None if self.outbox.unsent().is_empty() => End::Broken,
             None => End::NotSent,
         };
         Some((self.task.take()?, end))
     }
 
+    /// Its target says nothing, which is not the connection's age.
+    pub fn silent(&mut self) {
+        self.kept = false;
+    }
+
     /// The task is given up. A request of which nothing was written is taken back; else the connection is done.
     pub fn give_up(&mut self) {
         if self.task.take().is_some() {
--- a/node/tests/serve.rs
+++ b/node/tests/serve.rs
@@ -181,6 +181,24 @@
     assert_eq!(client.message().0, "HTTP/1.1 200 OK");
 }
 
+#[test]
+fn a_kept_connection_that_breaks_under_a_job_is_replaced_by_a_new_one() {
+    let s = Scheduler::start("stale");
+    let mut client = s.connect();
+    let mut target: Option<Peer> = None;
+    for id in ["t1", "t2"] {
+        client.job(id);
+        if let Some(mut kept) = target.take() {
+            Peer::message(&mut kept); // it has the job, and ends without a word
+        }
+        let target = target.insert(Peer::new(s.target.accept().unwrap().0));
+        assert!(target.message().1.contains(&format!("X-Trace-Id: {id}\r\n")));
+        target.send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+        s.news(&format!(r#"{{"id":"{id}","from":"s-1","state":"done","result":"r"}}"#));
+        assert_eq!(client.message().0, "HTTP/1.1 200 OK");
+    }
+}
+
 #[test]
 fn a_target_that_refuses_connections_leads_to_a_refusal_and_bad_input_to_its_status() {
     let mut s = Scheduler::start("refused");
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -206,6 +206,8 @@
     ConnectFailed,
     /// The connection broke; may have run.
     Reset,
+    /// A kept connection broke under it; may have run. That says nothing of the worker.
+    Stale,
     /// Withdrawn; may have run.
     Cancelled,
     /// Never sent; did not run.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -244,9 +244,9 @@
     /// How well tokens fit a job, least first: slots to wait for, lately known before unknown, then price.
     fn rank(&self, r: &Request, w: &Worker, most: i64) -> Option<i64> {
         let (k, warmth, room) = (r.k, self.warmth(w), self.room(w));
-        // Placement binds every attempt; and no attempt goes where an earlier one went.
+        // Placement binds every attempt; and none goes where an earlier one went, but for a connection's fault.
         let open = r.class.open_to(w.member.zone, w.member.kind);
-        if !open || r.legs.iter().any(|l| l.worker == w.member.worker) {
+        if !open || r.legs.iter().any(|l| l.worker == w.member.worker && !l.stale) {
             return None;
         }
         // The coldest are spared: as if one slot had to be waited for.
@@ -498,7 +498,10 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(l) = r.legs.get_mut(usize::from(o.leg)).filter(|l| l.state == LegState::Out) else { return };
         l.state = if self.set.may_have_run(o.ending) { LegState::MayHaveRun } else { LegState::NeverRan };
-        let unsure = matches!(o.ending, Ending::Timeout | Ending::Reset | Ending::Cancelled);
+        // Guards against: kept connections that break, taken for workers in ill health.
+        l.stale = o.ending == Ending::Stale;
+        out.extend(l.stale.then_some(Action::Disconnect { worker: l.worker }));
+        let unsure = matches!(o.ending, Ending::Timeout | Ending::Reset | Ending::Cancelled | Ending::Stale);
         let (worker, k, path) = (l.worker, r.k, l.path);
         let lay = Some(o.latency as f64).filter(|_| l.started.is_none() && o.ending == Ending::Cancelled);
         // Waiting is not running: what is learned of running times leaves it out.
@@ -531,14 +534,14 @@
             // Guards against: jobs with little time left that speak against workers in good health. An attempt
             // that was given up shows what it has taken so far, and that it may have gone on.
             Ending::Cancelled | Ending::Timeout if sample > SICK => self.observe(worker, sample.min(FAILED)),
-            Ending::Cancelled | Ending::Timeout | Ending::Moot => {}
+            Ending::Cancelled | Ending::Timeout | Ending::Moot | Ending::Stale => {}
             _ if roomy => {}
             _ => self.observe(worker, FAILED),
         }
         self.sync(worker);
         if answered {
             self.close(id, out);
-        } else if !waiting && self.retries.spend() {
+        } else if !waiting && (o.ending == Ending::Stale || self.retries.spend()) {
             self.place(id, out);
         } else if !waiting {
             self.turn_away(id, out);
@@ -626,7 +629,7 @@
     fn probed(&mut self, id: WorkerId, ending: Ending, report: &[f64]) {
         self.report(id, report);
         self.workers.entry(id).and_modify(|w| w.probing = false);
-        if !matches!(ending, Ending::Ok | Ending::Full) {
+        if !matches!(ending, Ending::Ok | Ending::Full | Ending::Stale) {
             self.observe(id, FAILED);
         }
         self.sync(id);
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,13 +82,25 @@
     /// What its way to a start is like: see `Dispatcher::starts`.
     pub path: usize,
     pub withdrawn: bool,
+    /// A kept connection broke under it.
+    pub stale: bool,
 }
 
 impl Leg {
     /// An attempt that goes out now.
     pub fn new(worker: WorkerId, now: Micros, free: bool, path: usize) -> Self {
         let state = LegState::Out;
-        Leg { worker, sent: now, state, heard: now, started: None, free, path, withdrawn: false }
+        Leg {
+            worker,
+            sent: now,
+            state,
+            heard: now,
+            started: None,
+            free,
+            path,
+            withdrawn: false,
+            stale: false,
+        }
     }
 }
 
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -233,3 +233,16 @@
     }
     assert!((1..=3).all(|w| !rig.dispatcher.ejected(WorkerId(w))));
 }
+
+#[test]
+fn kept_connections_that_break_speak_against_no_worker_and_the_job_may_go_back_there() {
+    let mut rig = Rig::new(settings(), 1);
+    for id in 1..=30 {
+        assert_eq!(rig.job(id, 0, 1), Some(1));
+        rig.settle(id, 0, Ending::Stale);
+        assert!(rig.actions.contains(&Action::Disconnect { worker: WorkerId(1) }));
+        assert_eq!(rig.sent(id), Some(1), "job {id}");
+        rig.settle(id, 1, Ending::Ok);
+        assert!(!rig.dispatcher.ejected(WorkerId(1)));
+    }
+}
