What targets turn away as unreadable is the request's fault; a deadline needs its unit

Two kinds: X-Expires-In:, without a unit, and ids of requests that targets knew with another content. Each 400 counted as FAILED against a target in good health and spent a retry. Now a 4xx (but 408, 425, 429) is an ending of its own: tried once more elsewhere; two that agree fail the request with 400 and harm nobody; one that others gainsay by running the job is the one at fault, so that a target that turns all away is still found out.

--- a/node/src/answer.rs
+++ b/node/src/answer.rs
@@ -10,8 +10,19 @@
     Served(Vec<u8>),
     /// The fixed response of a refusal: trying again is harmless, after so long (0: no advice).
     Refused { retry_after: Millis },
-    /// It failed, in time or by time.
-    Failed { expired: bool },
+    /// It failed.
+    Failed(Failure),
+}
+
+/// Why a request failed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Failure {
+    /// No target has answered within its time.
+    Expired,
+    /// Targets agree that it is nothing they could run.
+    Rejected,
+    /// No attempt has brought a result.
+    Forward,
 }
 
 impl Answer {
@@ -25,8 +36,13 @@
                 let headers: &[_] = if *retry_after > 0.0 { &advice } else { &[] };
                 http::response(503, headers, b"", keep_alive)
             }
-            Answer::Failed { expired } => {
-                http::response(if *expired { 504 } else { 502 }, &[], b"", keep_alive)
+            Answer::Failed(why) => {
+                let status = match why {
+                    Failure::Expired => 504,
+                    Failure::Rejected => 400,
+                    Failure::Forward => 502,
+                };
+                http::response(status, &[], b"", keep_alive)
             }
         }
     }
@@ -42,8 +58,8 @@
         let refused = text(Answer::Refused { retry_after: 120.0 });
         assert!(refused.starts_with("HTTP/1.1 503 ") && refused.contains("Retry-After: 0.120\r\n"));
         assert!(!text(Answer::Refused { retry_after: 0.0 }).contains("Retry-After"));
-        assert!(text(Answer::Failed { expired: true }).starts_with("HTTP/1.1 504 "));
-        assert!(text(Answer::Failed { expired: false }).starts_with("HTTP/1.1 502 "));
+        assert!(text(Answer::Failed(Failure::Expired)).starts_with("HTTP/1.1 504 "));
+        assert!(text(Answer::Failed(Failure::Forward)).starts_with("HTTP/1.1 502 "));
         assert!(text(Answer::Served(b"ab".to_vec()))
             .ends_with("Content-Length: 2\r\nConnection: close\r\n\r\nab"));
     }
--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -2,7 +2,7 @@
 //! that come back go out as deeds for the event loop. Ids, attempts and timers are kept here; there are no
 //! sockets, and no decisions.
 
-use crate::answer::Answer;
+use crate::answer::{Answer, Failure};
 use crate::clock::{Millis, Timers};
 use crate::event_loop::Key;
 use crate::forward::End;
@@ -43,6 +43,8 @@
     job: Job,
     expires: Millis,
     answered: bool,
+    /// The last attempt that ended was turned away as nothing that can be run.
+    rejected: bool,
     legs: Vec<Leg>,
 }
 
@@ -154,7 +156,8 @@
         self.timers.set(expires + OVERDUE, Due::Deadline(id));
         self.by_trace.insert(trace.clone(), id);
         let legs = Vec::new();
-        self.requests.insert(id, Request { client, trace, job, expires, answered: false, legs });
+        self.requests
+            .insert(id, Request { client, trace, job, expires, answered: false, rejected: false, legs });
         self.counts.taken += 1;
         Ok(id)
     }
@@ -228,7 +231,13 @@
                 let full = matches!(status, 503 | 504) && never_ran;
                 let load = answer.headers.get("Endpoint-Load-Metrics");
                 let report = load.map_or(Vec::new(), |text| report_from_text(text, &self.site));
-                self.settle(id, leg, if full { Ending::Full } else { Ending::Error }, report, now);
+                let ending = match status {
+                    _ if full => Ending::Full,
+                    // The others of this kind speak of the moment, not of the job.
+                    400..=499 if !matches!(status, 408 | 425 | 429) => Ending::Rejected,
+                    _ => Ending::Error,
+                };
+                self.settle(id, leg, ending, report, now);
             }
         }
     }
@@ -302,8 +311,12 @@
                 self.answer(job, Answer::Refused { retry_after: retry_after as f64 / 1e3 });
             }
             Action::Fail { job } => {
-                let expired = self.requests.get(&job).is_some_and(|r| r.expires <= now);
-                self.answer(job, Answer::Failed { expired });
+                let why = match self.requests.get(&job) {
+                    Some(r) if r.expires <= now => Failure::Expired,
+                    Some(r) if r.rejected => Failure::Rejected,
+                    _ => Failure::Forward,
+                };
+                self.answer(job, Answer::Failed(why));
             }
             Action::Wake { after, cookie } => {
                 self.timers.set(now + after as f64 / 1e3, Due::Module(cookie));
@@ -380,6 +393,7 @@
     /// Every attempt ends once.
     fn settle(&mut self, job: JobId, leg: u8, ending: Ending, report: Vec<f64>, now: Millis) {
         let Some(r) = self.requests.get_mut(&job) else { return };
+        r.rejected = ending == Ending::Rejected;
         let (done, legs) = (r.answered, &mut r.legs);
         let Some(l) = legs.get_mut(usize::from(leg)) else { return };
         if holds(Invariant::SettledOnce, l.out) {
@@ -401,7 +415,7 @@
             // Guards against: a client that waits for ever, should the module ever forget its job.
             holds(Invariant::AnsweredInTime, false);
             self.events.push(Event::ClientGone(id));
-            self.answer(id, Answer::Failed { expired: true });
+            self.answer(id, Answer::Failed(Failure::Expired));
         }
         let Some(r) = self.requests.get(&id) else { return };
         // The module may have ideas of its own about a job until it has had all that is gathered.
--- a/node/src/intake.rs
+++ b/node/src/intake.rs
@@ -97,10 +97,10 @@
     }
     let trace = single(TRACE)?.filter(|id| is_id(id)).ok_or(400u16)?.to_string();
     let wait = match single(EXPIRES)? {
-        Some(text) => millis(text, 1.0).ok_or(400u16)?,
+        Some(text) => millis(text, None).ok_or(400u16)?,
         None => site.classes[class].1,
     };
-    let hint = single("X-Size-Hint")?.map(|text| millis(text, 1e-3).ok_or(400u16)).transpose()?;
+    let hint = single("X-Size-Hint")?.map(|text| millis(text, Some(1e-3)).ok_or(400u16)).transpose()?;
     let slots = single("X-Props")?.map(|text| props(text).ok_or(400u16)).transpose()?.flatten();
     let keyed = matches!(site.settings.classes[class].effect, Effect::ByKey { .. });
     if single("Idempotency-Key")?.is_none_or(str::is_empty) && keyed || single("Host").is_err() {
@@ -126,16 +126,17 @@
     (1..=128).contains(&id.len()) && id.bytes().all(plain)
 }
 
-/// A length of time with its unit, `m` for milliseconds or `u` for microseconds, or in the usual unit.
-fn millis(text: &str, usual: f64) -> Option<Millis> {
+/// A length of time with its unit, `m` for milliseconds or `u` for microseconds, or in the usual unit where there
+/// is one.
+fn millis(text: &str, usual: Option<Millis>) -> Option<Millis> {
     let (number, unit) = match text.as_bytes().last()? {
         b'm' => (&text[..text.len() - 1], 1.0),
         b'u' => (&text[..text.len() - 1], 1e-3),
-        _ => (text, usual),
+        _ => (text, usual?),
     };
-    let time = number.trim().parse::<f64>().ok()? * unit;
-    // A day is longer than anyone waits, and keeps sums of times exact.
-    (time.is_finite() && time >= 0.0).then(|| time.min(86_400_000.0))
+    let time = number.parse::<f64>().ok()? * unit;
+    // A day is longer than anyone waits.
+    (0.0..=86_400_000.0).contains(&time).then_some(time)
 }
 
 /// The slots of `name=value,name=value`, if they are there; `None` where any of it cannot be meant.
@@ -208,7 +209,7 @@
         let job = job.unwrap();
         assert_eq!((job.class, job.key, job.hint), (1, 0x7f3a_9c21_e0b4_d655, Some(2_500)));
         assert_eq!((job.slots, job.wait, job.trace.as_str()), (4, 480.0, "9b1f"));
-        assert_eq!(millis("1500u", 1.0), Some(1.5));
+        assert_eq!((millis("1500u", None), millis("1500", None)), (Some(1.5), None));
     }
 
     #[test]
@@ -234,6 +235,8 @@
             ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Expires-In: soon\r\n\r\n", 400),
             ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Expires-In: -5m\r\n\r\n", 400),
             ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Expires-In: NaNm\r\n\r\n", 400),
+            ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Expires-In: 480\r\n\r\n", 400),
+            ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Expires-In: 99999999999999999m\r\n\r\n", 400),
             ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Expires-In: 5m\r\nX-Expires-In: 6m\r\n\r\n", 400),
             ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Trace-Id: b\r\n\r\n", 400),
             ("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\nX-Qos: gold\r\n\r\n", 404),
--- a/node/src/model.rs
+++ b/node/src/model.rs
@@ -1,6 +1,6 @@
 //! Models of a connection's states and of a request's way, against which random steps are checked.
 
-use crate::answer::Answer;
+use crate::answer::{Answer, Failure};
 use crate::clock::Millis;
 use crate::config::tests::{config, sample};
 use crate::dispatch::{Deed, Dispatch};
@@ -347,7 +347,7 @@
                 assert!(!std::mem::replace(&mut told.over, true), "a second answer");
                 let late = self.now > told.expires + 1_000.0;
                 assert!(
-                    !late || answer == Answer::Failed { expired: true },
+                    !late || answer == Answer::Failed(Failure::Expired),
                     "{answer:?} long after the deadline"
                 );
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -206,6 +206,8 @@
     ConnectFailed,
     /// The connection broke; may have run.
     Reset,
+    /// Turned away as nothing that can be run, by the worker's word; it may be the job or the worker.
+    Rejected,
     /// A kept connection broke under it; may have run. That says nothing of the worker.
     Stale,
     /// Withdrawn; may have run.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -244,7 +244,7 @@
     /// How well tokens fit a job, least first: slots to wait for, lately known before unknown, then price.
     fn rank(&self, r: &Request, w: &Worker, most: i64) -> Option<i64> {
         let (k, warmth, room) = (r.k, self.warmth(w), self.room(w));
-        // Placement binds every attempt; and none goes where an earlier one went, but for a connection's fault.
+        // Placement binds every attempt; none goes where one went before, but for a connection's fault.
         let open = r.class.open_to(w.member.zone, w.member.kind);
         if !open || r.legs.iter().any(|l| l.worker == w.member.worker && !l.stale) {
             return None;
@@ -499,7 +499,7 @@
         let Some(l) = r.legs.get_mut(usize::from(o.leg)).filter(|l| l.state == LegState::Out) else { return };
         l.state = if self.set.may_have_run(o.ending) { LegState::MayHaveRun } else { LegState::NeverRan };
         // Guards against: kept connections that break, taken for workers in ill health.
-        l.stale = o.ending == Ending::Stale;
+        (l.stale, l.rejected) = (o.ending == Ending::Stale, o.ending == Ending::Rejected);
         out.extend(l.stale.then_some(Action::Disconnect { worker: l.worker }));
         let unsure = matches!(o.ending, Ending::Timeout | Ending::Reset | Ending::Cancelled | Ending::Stale);
         let (worker, k, path) = (l.worker, r.k, l.path);
@@ -531,17 +531,27 @@
         self.fares(worker, class, o.ending, roomy);
         match o.ending {
             Ending::Ok => self.observe(worker, sample.clamp(-1.0, FAILED)),
-            // Guards against: jobs with little time left that speak against workers in good health. An attempt
-            // that was given up shows what it has taken so far, and that it may have gone on.
+            // Guards against: jobs with little time left that speak against workers in good health. What
+            // was given up shows how long it took so far, and that it may have gone on.
             Ending::Cancelled | Ending::Timeout if sample > SICK => self.observe(worker, sample.min(FAILED)),
-            Ending::Cancelled | Ending::Timeout | Ending::Moot | Ending::Stale => {}
+            Ending::Cancelled | Ending::Timeout | Ending::Moot | Ending::Stale | Ending::Rejected => {}
             _ if roomy => {}
             _ => self.observe(worker, FAILED),
         }
         self.sync(worker);
+        // Guards against: jobs that nobody can run, taken for the ill health of all that say so. Two that
+        // agree are right; one was wrong if another could run it.
+        let legs = self.requests.get(&id).map_or(&[][..], |r| &r.legs);
+        let turned: Vec<_> = legs.iter().filter(|l| l.rejected).map(|l| l.worker).collect();
+        if o.ending == Ending::Ok {
+            turned.iter().for_each(|wrong| self.observe(*wrong, FAILED));
+        }
         if answered {
             self.close(id, out);
-        } else if !waiting && (o.ending == Ending::Stale || self.retries.spend()) {
+        } else if turned.len() > 1 {
+            out.push(Action::Fail { job: id });
+            self.close(id, out);
+        } else if !waiting && (matches!(o.ending, Ending::Stale | Ending::Rejected) || self.retries.spend()) {
             self.place(id, out);
         } else if !waiting {
             self.turn_away(id, out);
--- a/src/state.rs
+++ b/src/state.rs
@@ -84,6 +84,8 @@
     pub withdrawn: bool,
     /// A kept connection broke under it.
     pub stale: bool,
+    /// Its worker took it for nothing that can be run.
+    pub rejected: bool,
 }
 
 impl Leg {
@@ -100,6 +102,7 @@
             path,
             withdrawn: false,
             stale: false,
+            rejected: false,
         }
     }
 }
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -246,3 +246,30 @@
         assert!(!rig.dispatcher.ejected(WorkerId(1)));
     }
 }
+
+#[test]
+fn a_job_that_nobody_can_run_fails_and_speaks_against_no_worker() {
+    let mut rig = Rig::new(settings(), 6);
+    for id in 1..=30 {
+        assert!(rig.job(id, 0, 1).is_some());
+        rig.settle(id, 0, Ending::Rejected);
+        assert!(rig.sent(id).is_some(), "one worker may be wrong");
+        rig.settle(id, 1, Ending::Rejected);
+        assert!(rig.failed(id) && rig.sent(id).is_none(), "two that agree are right");
+    }
+    assert!((1..=6).all(|w| !rig.dispatcher.ejected(WorkerId(w))));
+}
+
+#[test]
+fn a_worker_that_turns_away_what_others_run_is_found_out() {
+    let mut rig = Rig::new(settings(), 6);
+    for id in 1..=60 {
+        let Some(worker) = rig.job(id, 0, 1) else { continue };
+        let ending = if worker == 1 { Ending::Rejected } else { Ending::Ok };
+        rig.settle(id, 0, ending);
+        if worker == 1 && rig.sent(id).is_some() {
+            rig.settle(id, 1, Ending::Ok);
+        }
+    }
+    assert!(rig.dispatcher.ejected(WorkerId(1)));
+}
