--- a/node/src/target_group.rs
+++ b/node/src/target_group.rs
@@ -11,10 +11,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// For so long discovery may hold a call in which nothing changes.
-const WAIT: Millis = 10_000.0;
-/// An answer that has not come so long after that never will.
-const PATIENCE: Millis = 1_500.0;
+/// For so long discovery may hold a call in which nothing changes. Guards against: a watch that falls silent, which
+/// shows only once this is over; until then targets that drain or are gone count as they were.
+const WAIT: Millis = 4_000.0;
+/// An answer that has not come so long after that never will. What such a watch has to tell counts as told 2 s after
+/// the wait, so that this leaves time to ask again.
+const PATIENCE: Millis = 1_000.0;
+/// The whole list comes within this time, or never.
+const LIST_PATIENCE: Millis = 1_500.0;
 
 /// A list, or changes to one, as discovery tells it.
 #[derive(Debug, Default)]
@@ -164,13 +168,13 @@
     /// The next call to discovery, and how long its answer may take: the changes since the version held, or
     /// the whole list where none is held.
     pub fn call(&self, host: SocketAddr) -> (Vec<u8>, Millis) {
-        let (target, wait) = match self.version {
-            Some(version) => (format!("/discovery/hosts?after={version}&wait_ms={WAIT}"), WAIT),
-            None => ("/discovery/hosts".to_string(), 0.0),
+        let (target, patience) = match self.version {
+            Some(version) => (format!("/discovery/hosts?after={version}&wait_ms={WAIT}"), WAIT + PATIENCE),
+            None => ("/discovery/hosts".to_string(), LIST_PATIENCE),
         };
         let line = RequestLine { method: "GET".into(), target };
         let host = host.to_string();
-        (http::request(&line, &[("Host", host.as_bytes())], b""), wait + PATIENCE)
+        (http::request(&line, &[("Host", host.as_bytes())], b""), patience)
     }
 }
 
@@ -264,7 +268,9 @@
         let text = |group: &TargetGroup| String::from_utf8(group.call(([127, 0, 0, 1], 9).into()).0).unwrap();
         assert!(text(&group).starts_with("GET /discovery/hosts HTTP/1.1\r\n"));
         group.apply(list(false, json!([])));
-        assert!(text(&group).starts_with("GET /discovery/hosts?after=43&wait_ms=10000 HTTP/1.1\r\n"));
+        assert!(text(&group).starts_with("GET /discovery/hosts?after=43&wait_ms=4000 HTTP/1.1\r\n"));
+        // A silent watch is asked again well before what it had to tell counts as told: 2 s after the wait.
+        assert!(group.call(([127, 0, 0, 1], 9).into()).1 <= 4_000.0 + 1_500.0);
     }
 
     #[test]
