Open the management address: healthcheck, figures, bounded callers

Now `node/src/management.rs` reads calls, `node/src/event_loop/managers.rs` serves them first in each turn, `node/src/figures.rs` owns the counters that `Counts` in dispatch.rs held, by class. `forwards` in the log counted attempts begun; `attempts` counts those written whole, in `flush` where the last byte goes. A call comes through although 40 callers connect and say nothing (test `operators_get_figures_and_a_no_to_what_is_none_whoever_else_says_nothing`, fails without the bound of 16).

--- a/node/src/answer.rs
+++ b/node/src/answer.rs
@@ -1,6 +1,7 @@
 //! Final answers to clients.
 
 use crate::clock::Millis;
+use crate::figures::Final;
 use crate::http;
 
 /// A request's final answer.
@@ -26,6 +27,15 @@
 }
 
 impl Answer {
+    /// What it counts as.
+    pub fn kind(&self) -> Final {
+        match self {
+            Answer::Served(_) => Final::Served,
+            Answer::Refused { .. } => Final::Refused,
+            Answer::Failed(_) => Final::Failed,
+        }
+    }
+
     /// The answer in HTTP.
     pub fn bytes(&self, keep_alive: bool) -> Vec<u8> {
         match self {
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -12,6 +12,8 @@
     pub name: String,
     /// Where clients connect, and targets with their news.
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub mgmt: Option<SocketAddr>,
     /// Where discovery answers.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -29,6 +31,8 @@
     #[serde(default)]
     name: String,
     listen: SocketAddr,
+    #[serde(default)]
+    mgmt: Option<SocketAddr>,
     discovery: SocketAddr,
     seed: String,
     limits: Limits,
@@ -42,6 +46,15 @@
     sockets: usize,
 }
 
+/// Where operators call, for a file that does not say.
+const MGMT: &str = "NODE_MGMT";
+
+/// The address that the environment names, if it does.
+fn mgmt_of(text: Option<String>) -> Result<Option<SocketAddr>, String> {
+    let addr = |text: String| text.parse().map_err(|e| format!("{MGMT} {text:?}: {e}"));
+    text.filter(|text| !text.is_empty()).map(addr).transpose()
+}
+
 /// Fewer descriptors than this cannot serve anybody.
 const FEWEST_SOCKETS: usize = 64;
 
@@ -49,7 +62,8 @@
     /// Reads a configuration file, or says in one line what is wrong with it.
     pub fn load(path: &Path) -> Result<Config, String> {
         let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        Config::read(&text).map_err(|e| format!("{}: {e}", path.display()))
+        let config = Config::read(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+        Ok(Config { mgmt: config.mgmt.or(mgmt_of(std::env::var(MGMT).ok())?), ..config })
     }
 
     fn read(text: &[u8]) -> Result<Config, String> {
@@ -65,6 +79,7 @@
         Ok(Config {
             name: file.name,
             listen: file.listen,
+            mgmt: file.mgmt,
             discovery: file.discovery,
             seed,
             sockets: file.limits.sockets,
@@ -107,6 +122,18 @@
         let c = config();
         assert_eq!((c.name.as_str(), c.seed, c.sockets), ("n3", 0x8c1f_30d2_7a5b_e964, 128));
         assert_eq!((c.site.classes[1].0.as_str(), c.known.entries.len()), ("fund", 1));
+        assert!(c.mgmt.is_none()); // older deployments have none
+    }
+
+    #[test]
+    fn the_operators_address_is_the_files_or_else_the_environments() {
+        let mut file = sample();
+        file["mgmt"] = json!("127.0.0.1:9100");
+        let addr = Some(SocketAddr::from(([127, 0, 0, 1], 9100)));
+        assert_eq!(Config::read(file.to_string().as_bytes()).unwrap().mgmt, addr);
+        assert_eq!(mgmt_of(Some("127.0.0.1:9100".into())), Ok(addr));
+        assert_eq!((mgmt_of(None), mgmt_of(Some(String::new()))), (Ok(None), Ok(None)));
+        assert!(mgmt_of(Some("here".into())).unwrap_err().contains("NODE_MGMT"));
     }
 
     #[test]
--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -5,6 +5,7 @@
 use crate::answer::{Answer, Failure};
 use crate::clock::{Millis, Timers};
 use crate::event_loop::Key;
+use crate::figures::Figures;
 use crate::forward::End;
 use crate::intake::Job;
 use crate::invariant::{holds, Invariant};
@@ -63,25 +64,6 @@
     Deadline(JobId),
 }
 
-/// How many of each there were since the start.
-#[derive(Debug, Default)]
-pub struct Counts {
-    /// Requests taken.
-    pub taken: u64,
-    /// Answers by kind.
-    pub served: u64,
-    /// Refused by the module.
-    pub refused: u64,
-    /// Failed.
-    pub failed: u64,
-    /// Clients that went away before their answer.
-    pub left: u64,
-    /// Attempts begun.
-    pub forwards: u64,
-    /// Times that something was put off or failed for want of a descriptor.
-    pub short: u64,
-}
-
 /// The module with all that it is told and all that it wants.
 pub struct Dispatch {
     module: Dispatcher,
@@ -97,12 +79,13 @@
     /// By when jobs must have their answers, whatever their clients' patience: the scheduler ends.
     ends: Millis,
     /// What happened so far.
-    pub counts: Counts,
+    pub figures: Figures,
 }
 
 impl Dispatch {
     /// A module that knows nothing yet.
     pub fn new(site: Rc<Site>, seed: u64, now: Millis) -> Self {
+        let figures = Figures::new(site.classes.iter().map(|(name, _)| name.as_str()));
         Dispatch {
             module: Dispatcher::new(site.settings.clone(), seed, micros(now)),
             site,
@@ -114,7 +97,7 @@
             doubtful: Vec::new(),
             last_id: 0,
             ends: f64::INFINITY,
-            counts: Counts::default(),
+            figures,
         }
     }
 
@@ -158,7 +141,7 @@
         let legs = Vec::new();
         self.requests
             .insert(id, Request { client, trace, job, expires, answered: false, rejected: false, legs });
-        self.counts.taken += 1;
+        self.figures.taken += 1;
         Ok(id)
     }
 
@@ -166,7 +149,7 @@
     pub fn client_gone(&mut self, id: JobId) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
         r.answered = true;
-        self.counts.left += 1;
+        self.figures.left += 1;
         self.events.push(Event::ClientGone(id));
         self.doubtful.push(id);
     }
@@ -284,6 +267,11 @@
         self.requests.values().filter(|r| !r.answered).count()
     }
 
+    /// Whether a target gets nothing new, by hand or by the module's choice.
+    pub fn avoids(&self, target: WorkerId) -> bool {
+        self.module.avoids(target)
+    }
+
     /// How many requests are kept in mind.
     #[cfg(test)]
     pub fn open(&self) -> usize {
@@ -334,11 +322,7 @@
         if !matches!(answer, Answer::Served(_)) {
             log::debug!("{} of class {}, {} slots: {answer:?}", r.trace, r.job.class, r.job.slots);
         }
-        match answer {
-            Answer::Served(_) => self.counts.served += 1,
-            Answer::Refused { .. } => self.counts.refused += 1,
-            Answer::Failed { .. } => self.counts.failed += 1,
-        }
+        self.figures.ended(r.job.class, answer.kind());
         self.deeds.push(Deed::Answer(r.client, answer));
         self.doubtful.push(id);
     }
@@ -361,7 +345,6 @@
         }
         let request = r.job.payload.request(until - now);
         self.timers.set(until, Due::Attempt(id, leg));
-        self.counts.forwards += 1;
         self.deeds.push(Deed::Forward { job: id, leg, target, request });
     }
 
--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -4,6 +4,7 @@
 use crate::config::Config;
 use crate::dispatch::{Deed, Dispatch};
 use crate::drain::Drain;
+use crate::figures::Final;
 use crate::forward::{self, Pool, Task};
 use crate::http::{Outbox, RequestLine};
 use crate::invariant;
@@ -24,11 +25,13 @@
 
 mod forwards;
 mod listeners;
+mod managers;
 mod sockets;
 mod watch;
 
 const LISTENER: Token = Token(usize::MAX);
 const SIGNAL: Token = Token(usize::MAX - 1);
+const MANAGEMENT: Token = Token(usize::MAX - 2);
 /// Descriptors beside the connections of clients and targets: standard streams, poll, listener, signals, discovery,
 /// and room for what libraries open.
 const OWN_DESCRIPTORS: usize = 13;
@@ -42,8 +45,9 @@
 const COUNTERS_EVERY: Millis = 60_000.0;
 
 /// How many connections from outside and to targets there may be, of so many descriptors.
-fn shares(descriptors: usize) -> (usize, usize) {
-    let connections = descriptors - OWN_DESCRIPTORS;
+fn shares(descriptors: usize, managed: bool) -> (usize, usize) {
+    let own = OWN_DESCRIPTORS + if managed { managers::DESCRIPTORS } else { 0 };
+    let connections = descriptors - own;
     (connections - connections / FORWARDS_ONE_IN, connections / FORWARDS_ONE_IN)
 }
 
@@ -65,6 +69,8 @@
 enum Role {
     /// A client's connection, or one that a target brings news on; the request at hand.
     Listener(listener::Connection, Option<JobId>),
+    /// An operator's connection.
+    Manager(listener::Connection),
     /// A connection to a target.
     Forward(forward::Connection),
     /// The connection to discovery.
@@ -74,11 +80,27 @@
 impl Role {
     fn outbox(&mut self) -> &mut Outbox {
         match self {
-            Role::Listener(c, _) => &mut c.outbox,
+            Role::Listener(c, _) | Role::Manager(c) => &mut c.outbox,
             Role::Forward(c) => &mut c.outbox,
             Role::Discovery(c) => &mut c.outbox,
         }
     }
+
+    /// The side of a connection that others opened, if they did.
+    fn outside(&mut self) -> Option<&mut listener::Connection> {
+        match self {
+            Role::Listener(c, _) | Role::Manager(c) => Some(c),
+            _ => None,
+        }
+    }
+
+    /// The same, to look at.
+    fn outside_ref(&self) -> Option<&listener::Connection> {
+        match self {
+            Role::Listener(c, _) | Role::Manager(c) => Some(c),
+            _ => None,
+        }
+    }
 }
 
 struct Socket {
@@ -98,6 +120,9 @@
     site: Rc<Site>,
     discovery: SocketAddr,
     listener: TcpListener,
+    /// Where operators call, and how many of their connections there are.
+    management: Option<TcpListener>,
+    managers: usize,
     /// When to look for new connections unasked; 0: not before one is told of.
     accept_at: Millis,
     /// Connections that have had their part of a turn and may have more.
@@ -139,7 +164,8 @@
             .map_err(|e| io::Error::new(e.kind(), format!("listening on {}: {e}", config.listen)))?;
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
         poll.registry().register(&mut signals, SIGNAL, Interest::READABLE)?;
-        let (most_listeners, most_forwards) = shares(config.sockets);
+        let management = config.mgmt.map(|addr| managers::listen(addr, poll.registry())).transpose()?;
+        let (most_listeners, most_forwards) = shares(config.sockets, management.is_some());
         let site = Rc::new(config.site);
         let longest = site.classes.iter().map(|(_, limit)| *limit).fold(0.0, f64::max);
         let mut dispatch = Dispatch::new(site.clone(), config.seed, now);
@@ -152,12 +178,17 @@
             members.len()
         );
         dispatch.members(ListKind::Cached, members);
+        if let Some(management) = &management {
+            log::info!("{}: operators call at {}", config.name, management.local_addr()?);
+        }
         Ok(EventLoop {
             poll,
             clock,
             site,
             discovery: config.discovery,
             listener,
+            management,
+            managers: 0,
             accept_at: now,
             again: Vec::new(),
             signals,
@@ -217,8 +248,11 @@
     fn gather(&mut self, events: &Events) {
         let resting = self.accept_at;
         let again = std::mem::take(&mut self.again);
-        for event in events {
+        // Guards against: operators who wait behind a crowd of clients.
+        let (calls, others): (Vec<_>, Vec<_>) = events.iter().partition(|event| self.is_call(event.token()));
+        for event in calls.into_iter().chain(others) {
             match event.token() {
+                MANAGEMENT => self.accept_managers(),
                 LISTENER => self.accept(),
                 SIGNAL => self.signalled(),
                 Token(slot) => self.ready(slot),
@@ -310,9 +344,13 @@
     fn reload(&mut self) {
         let new = match self.reload.read() {
             Ok(new) => new,
-            Err(e) => return log::error!("SIGHUP: the configuration stays as it was: {e}"),
+            Err(e) => {
+                self.dispatch.figures.reloads_failed += 1;
+                return log::error!("SIGHUP: the configuration stays as it was: {e}");
+            }
         };
-        (self.most_listeners, self.most_forwards) = shares(new.sockets);
+        self.dispatch.figures.reloads_ok += 1;
+        (self.most_listeners, self.most_forwards) = shares(new.sockets, self.management.is_some());
         let moved = new.discovery != self.discovery;
         log::info!("SIGHUP: discovery at {}{}", new.discovery, if moved { "" } else { ", as before" });
         if !new.restart.is_empty() {
@@ -324,16 +362,13 @@
     }
 
     fn log_counters(&self, when: &str) {
-        let (c, open, broken) = (&self.dispatch.counts, self.sockets.len(), invariant::broken());
+        let (f, open, broken) = (&self.dispatch.figures, self.sockets.len(), invariant::broken());
+        let [served, refused, failed] =
+            [Final::Served, Final::Refused, Final::Failed].map(|how| f.total(how));
+        let (taken, left, attempts, short) = (f.taken, f.left, f.attempts, f.short);
         log::info!(
-            "{when}: taken={} served={} refused={} failed={} left={} forwards={} short={} open={open}{broken}",
-            c.taken,
-            c.served,
-            c.refused,
-            c.failed,
-            c.left,
-            c.forwards,
-            c.short
+            "{when}: taken={taken} served={served} refused={refused} failed={failed} left={left} \
+             attempts={attempts} short={short} open={open}{broken}"
         );
     }
 }
@@ -344,6 +379,7 @@
         match &self.role {
             Role::Listener(c, _) => c.state() == State::Busy || !c.outbox.unsent().is_empty(),
             Role::Forward(c) => c.task() == Some(Task::Withdrawal),
+            Role::Manager(c) => !c.outbox.unsent().is_empty(),
             Role::Discovery(_) => false,
         }
     }
--- a/node/src/event_loop/listeners.rs
+++ b/node/src/event_loop/listeners.rs
@@ -74,12 +74,13 @@
                     let status = if self.drain.is_on() { 503 } else { 200 };
                     self.reply(key, now, !self.drain.is_on(), |keep| http::response(status, &[], b"", keep));
                 }
-                Ask::Job(_) if self.is_full() => {
+                Ask::Job(job) if self.is_full() => {
                     self.short(now);
                     let set = &self.site.settings;
                     let advice = f64::from(u8::from(set.retry_after)) * FULL_FOR;
                     let refused =
                         Answer::Refused { retry_after: advice.min(set.max_retry_after as f64 / 1e3) };
+                    self.dispatch.figures.ended(job.class, refused.kind());
                     self.reply(key, now, false, |keep| refused.bytes(keep));
                 }
                 Ask::Job(job) => match self.dispatch.arrived(key, *job, now) {
@@ -143,7 +144,7 @@
 
     /// Something had to wait or fail for want of a descriptor.
     pub(super) fn short(&mut self, now: Millis) {
-        self.dispatch.counts.short += 1;
+        self.dispatch.figures.short += 1;
         if now >= self.short_at {
             self.short_at = now + SHORT_EVERY;
             let (listeners, forwards) = (self.listeners, self.forwards);
--- /dev/null
+++ b/node/src/event_loop/managers.rs
@@ -0,0 +1,106 @@
+//! Operators' connections: accepted apart from clients' and before them, one call on each.
+
+use super::{EventLoop, Key, Role, Socket, MANAGEMENT};
+use crate::clock::Millis;
+use crate::figures::Gauges;
+use crate::http;
+use crate::listener;
+use crate::management::{self, Call, No};
+use mio::net::TcpListener;
+use mio::{Interest, Registry, Token};
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+
+/// So many operators' connections there may be. Guards against: callers that connect and finish no call, behind
+/// which others would wait; over this, the one that came first goes.
+const MOST: usize = 16;
+/// Descriptors set apart for them: theirs, the listener's, and one to accept with.
+pub(super) const DESCRIPTORS: usize = MOST + 2;
+
+/// Listens for operators.
+pub(super) fn listen(addr: SocketAddr, registry: &Registry) -> io::Result<TcpListener> {
+    let mut listener = TcpListener::bind(addr)
+        .map_err(|e| io::Error::new(e.kind(), format!("listening on {addr} for management: {e}")))?;
+    registry.register(&mut listener, MANAGEMENT, Interest::READABLE)?;
+    Ok(listener)
+}
+
+impl EventLoop {
+    /// Whether readiness is that of an operator's call.
+    pub(super) fn is_call(&self, token: Token) -> bool {
+        let manager = |s: &Socket| matches!(s.role, Role::Manager(_));
+        token == MANAGEMENT || self.sockets.get(token.0).is_some_and(manager)
+    }
+
+    /// Takes operators' connections that wait.
+    pub(super) fn accept_managers(&mut self) {
+        let now = self.clock.now();
+        while let Some(listener) = &self.management {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nodelay(true); // a delay at worst
+                    if self.managers >= MOST {
+                        self.close_oldest_manager();
+                    }
+                    let new = listener::Connection::new(now);
+                    let until = new.deadline();
+                    match self.add(stream, Role::Manager(new), false, until) {
+                        Ok(key) => self.drive(key),
+                        Err(e) => log::warn!("a new connection cannot be polled: {e}"),
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e) => {
+                    log::warn!("accept for management: {e}");
+                    if !self.close_oldest_manager() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Says whether there was one.
+    fn close_oldest_manager(&mut self) -> bool {
+        let managers = self.sockets.iter().filter(|(_, s)| matches!(s.role, Role::Manager(_)));
+        let oldest = managers.map(|(_, s)| s.key).min_by_key(|key| key.serial);
+        oldest.map(|key| self.close(key)).is_some()
+    }
+
+    /// Answers the call that has come whole on a connection; there is one on each.
+    pub(super) fn calls(&mut self, key: Key, now: Millis) {
+        let Some(Socket { role: Role::Manager(c), .. }) = self.socket(key) else { return };
+        let Some(next) = c.next() else { return };
+        let answer = match next.map(|message| management::read(&message.line)) {
+            Err(fault) => http::response(fault.0, &[], b"", false),
+            Ok(Err(No::Unknown)) => http::response(404, &[], b"", false),
+            Ok(Err(No::Method(allow))) => http::response(405, &[("Allow", allow.to_string())], b"", false),
+            Ok(Ok(Call::Stats)) => {
+                let json = [("Content-Type", "application/json".to_string())];
+                http::response(200, &json, self.stats().as_bytes(), false)
+            }
+            Ok(Ok(call)) => {
+                let yes = self.obey(call, now);
+                http::response(if yes { 200 } else { 503 }, &[], b"", false)
+            }
+        };
+        if let Some(Socket { role: Role::Manager(c), .. }) = self.socket(key) {
+            c.answer(&answer, false, now);
+        }
+    }
+
+    /// Does what a call asks; says yes or no.
+    fn obey(&mut self, call: Call, _now: Millis) -> bool {
+        matches!(call, Call::Healthcheck) && !self.drain.is_on()
+    }
+
+    fn stats(&self) -> String {
+        let avoided = self.group.listed().filter(|target| self.dispatch.avoids(*target)).count();
+        self.dispatch.figures.json(Gauges {
+            in_flight: self.dispatch.unanswered(),
+            workers_known: self.group.listed().count(),
+            workers_excluded: avoided,
+        })
+    }
+}
--- a/node/src/event_loop/sockets.rs
+++ b/node/src/event_loop/sockets.rs
@@ -46,6 +46,7 @@
         match role {
             Role::Listener(..) => self.listeners += 1,
             Role::Forward(_) => self.forwards += 1,
+            Role::Manager(_) => self.managers += 1,
             Role::Discovery(_) => {}
         }
         entry.insert(Socket { stream, key, role, connecting, deadline });
@@ -77,6 +78,7 @@
         let _ = self.poll.registry().deregister(&mut socket.stream);
         match socket.role {
             Role::Listener(..) => self.listeners -= 1,
+            Role::Manager(_) => self.managers -= 1,
             Role::Forward(c) => {
                 self.forwards -= 1;
                 self.pool.remove(c.target, key);
@@ -146,7 +148,7 @@
             // Readiness is told once: what is left must be looked for in the next turn.
             ReadEnd::Spent => self.again.push(key),
             ReadEnd::Full => {
-                let full = |s: &Socket| matches!(&s.role, Role::Listener(c, _) if !c.wants_more());
+                let full = |s: &Socket| s.role.outside_ref().is_some_and(|c| !c.wants_more());
                 // Else it goes on with the next answer, or once the client has read some.
                 if self.socket(key).is_some_and(|s| !full(s)) {
                     self.again.push(key);
@@ -158,11 +160,11 @@
 
     /// Has a listener's connection looked at when its time is up.
     fn mind(&mut self, key: Key) {
-        let Some(Socket { role: Role::Listener(c, _), deadline, .. }) = self.socket(key) else { return };
-        let until = c.deadline();
-        if until != *deadline {
-            self.set_deadline(key, until);
-        }
+        let Some(Socket { role, deadline, .. }) = self.socket(key) else { return };
+        let Some(until) = role.outside().map(|c| c.deadline()).filter(|until| until != deadline) else {
+            return;
+        };
+        self.set_deadline(key, until);
     }
 
     /// Reads what there is, up to a connection's part of a turn.
@@ -173,7 +175,7 @@
             let Some(socket) = self.sockets.get_mut(key.slot).filter(|s| s.key == key) else {
                 break ReadEnd::Dry;
             };
-            if matches!(&socket.role, Role::Listener(c, _) if !c.wants_more()) {
+            if socket.role.outside_ref().is_some_and(|c| !c.wants_more()) {
                 break ReadEnd::Full;
             }
             if total >= READ_BUDGET {
@@ -204,6 +206,10 @@
                 c.receive(bytes, now);
                 self.requests(key, now);
             }
+            Role::Manager(c) => {
+                c.receive(bytes, now);
+                self.calls(key, now);
+            }
             Role::Forward(c) => {
                 let ended = c.receive(bytes);
                 let target = c.target;
@@ -232,8 +238,13 @@
             match socket.stream.write(outbox.unsent()) {
                 Ok(n) => {
                     outbox.sent(n);
-                    if let Role::Listener(c, _) = &mut socket.role {
-                        c.used = now;
+                    let whole = outbox.unsent().is_empty();
+                    match &mut socket.role {
+                        Role::Listener(c, _) | Role::Manager(c) => c.used = now,
+                        Role::Forward(c) if whole && matches!(c.task(), Some(Task::Attempt(..))) => {
+                            self.dispatch.figures.attempts += 1;
+                        }
+                        _ => {}
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
@@ -241,7 +252,8 @@
                 Err(_) => return self.broken(key),
             }
         }
-        let Some(Socket { role: Role::Listener(c, _), stream, .. }) = self.socket(key) else { return };
+        let Some(Socket { role, stream, .. }) = self.socket(key) else { return };
+        let Some(c) = role.outside() else { return };
         if c.state() == State::Last && !c.shut {
             // The answer may still be on its way: closing now, with input unread, could cut it off.
             c.shut = true;
@@ -261,6 +273,7 @@
                     self.dispatch.client_gone(job);
                 }
             }
+            Role::Manager(_) => self.close(key),
             Role::Forward(c) => {
                 let (ended, target) = (c.broken(), c.target);
                 self.close(key);
@@ -280,13 +293,13 @@
         let Some(socket) = self.socket(key).filter(|s| s.deadline <= now) else { return };
         socket.deadline = f64::INFINITY;
         match &mut socket.role {
-            Role::Listener(c, _) if c.deadline() > now => self.mind(key),
+            Role::Listener(c, _) | Role::Manager(c) if c.deadline() > now => self.mind(key),
             Role::Listener(c, _) if c.is_partial() => {
                 let fault = c.give_up_request();
                 self.reply(key, now, false, |keep| http::response(fault.0, &[], b"", keep));
                 self.drive(key);
             }
-            Role::Listener(..) => self.broken(key),
+            Role::Listener(..) | Role::Manager(_) => self.broken(key),
             Role::Forward(c) => match c.task() {
                 Some(Task::Probe(worker)) if c.is_up() => {
                     self.close(key);
--- /dev/null
+++ b/node/src/figures.rs
@@ -0,0 +1,138 @@
+//! The figures of a scheduler since its start: one owner of all that is counted, and what `GET /stats` shows of it.
+
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// How a job ended, as its client sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Final {
+    /// With a target's result.
+    Served,
+    /// Turned away.
+    Refused,
+    /// Failed.
+    Failed,
+}
+
+/// A class's jobs by how they ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Ended([u64; 3]);
+
+/// All counters. Each counts where the thing becomes true: a job at its final answer, an attempt when its last byte
+/// is written.
+#[derive(Debug)]
+pub struct Figures {
+    classes: Vec<(String, Ended)>,
+    /// Requests taken.
+    pub taken: u64,
+    /// Clients that went away before their answer.
+    pub left: u64,
+    /// Attempts written whole to targets.
+    pub attempts: u64,
+    /// Times that something was put off or failed for want of a descriptor.
+    pub short: u64,
+    /// Configurations read again and taken over.
+    pub reloads_ok: u64,
+    /// Configurations that could not be read again.
+    pub reloads_failed: u64,
+}
+
+/// What is not counted but looked up when the figures are asked for.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Gauges {
+    /// Jobs taken and not ended.
+    pub in_flight: usize,
+    /// Targets on the list.
+    pub workers_known: usize,
+    /// Those of them that are avoided, by hand or by the module's choice.
+    pub workers_excluded: usize,
+}
+
+/// The form in which operators get the figures.
+#[derive(Serialize)]
+struct Stats<'a> {
+    served: BTreeMap<&'a str, u64>,
+    refused: BTreeMap<&'a str, u64>,
+    failed: BTreeMap<&'a str, u64>,
+    attempts: u64,
+    #[serde(flatten)]
+    gauges: Gauges,
+    reloads_ok: u64,
+    reloads_failed: u64,
+}
+
+impl Figures {
+    /// Nothing counted yet, of any of these classes.
+    pub fn new<'a>(classes: impl Iterator<Item = &'a str>) -> Self {
+        Figures {
+            classes: classes.map(|name| (name.to_string(), Ended::default())).collect(),
+            taken: 0,
+            left: 0,
+            attempts: 0,
+            short: 0,
+            reloads_ok: 0,
+            reloads_failed: 0,
+        }
+    }
+
+    /// A job of a class has had its final answer.
+    pub fn ended(&mut self, class: u16, how: Final) {
+        if let Some((_, ended)) = self.classes.get_mut(usize::from(class)) {
+            ended.0[how as usize] += 1;
+        }
+    }
+
+    /// How many jobs of all classes ended so.
+    pub fn total(&self, how: Final) -> u64 {
+        self.classes.iter().map(|(_, ended)| ended.0[how as usize]).sum()
+    }
+
+    /// The figures as JSON; every class is named, whether any of its jobs has come or not.
+    pub fn json(&self, gauges: Gauges) -> String {
+        let by_class =
+            |how: Final| self.classes.iter().map(|(n, e)| (n.as_str(), e.0[how as usize])).collect();
+        let stats = Stats {
+            served: by_class(Final::Served),
+            refused: by_class(Final::Refused),
+            failed: by_class(Final::Failed),
+            attempts: self.attempts,
+            gauges,
+            reloads_ok: self.reloads_ok,
+            reloads_failed: self.reloads_failed,
+        };
+        serde_json::to_string(&stats).unwrap_or_default() // numbers under names of text always have a form
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::{json, Value};
+
+    #[test]
+    fn every_class_and_figure_is_shown_from_the_start_and_each_end_counts_under_its_own() {
+        let mut figures = Figures::new(["render", "fund"].into_iter());
+        let shown = |f: &Figures| {
+            let gauges = Gauges { in_flight: 3, workers_known: 12, workers_excluded: 1 };
+            serde_json::from_str::<Value>(&f.json(gauges)).unwrap()
+        };
+        let none = json!({"render": 0, "fund": 0});
+        assert_eq!(
+            shown(&figures),
+            json!({"served": none, "refused": none, "failed": none, "attempts": 0, "in_flight": 3,
+                "workers_known": 12, "workers_excluded": 1, "reloads_ok": 0, "reloads_failed": 0})
+        );
+        figures.ended(0, Final::Served);
+        figures.ended(1, Final::Served);
+        figures.ended(1, Final::Refused);
+        figures.ended(0, Final::Failed);
+        figures.ended(9, Final::Failed); // no such class
+        let now = shown(&figures);
+        assert_eq!(now["served"], json!({"render": 1, "fund": 1}));
+        assert_eq!(
+            (&now["refused"], &now["failed"]),
+            (&json!({"render": 0, "fund": 1}), &json!({"render": 1, "fund": 0}))
+        );
+        assert_eq!((figures.total(Final::Served), figures.total(Final::Failed)), (2, 1));
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -8,11 +8,13 @@
 mod dispatch;
 mod drain;
 mod event_loop;
+mod figures;
 mod forward;
 mod http;
 mod intake;
 mod invariant;
 mod listener;
+mod management;
 #[cfg(test)]
 mod model;
 mod news;
--- a/node/src/reload.rs
+++ b/node/src/reload.rs
@@ -10,6 +10,7 @@
     path: PathBuf,
     name: String,
     listen: SocketAddr,
+    mgmt: Option<SocketAddr>,
     site: Site,
 }
 
@@ -27,7 +28,8 @@
 impl Reload {
     /// Remembers what a scheduler starts with. Its seed and the list that it knew are for a start alone.
     pub fn new(path: PathBuf, config: &Config) -> Self {
-        Reload { path, name: config.name.clone(), listen: config.listen, site: config.site.clone() }
+        let (name, site) = (config.name.clone(), config.site.clone());
+        Reload { path, name, listen: config.listen, mgmt: config.mgmt, site }
     }
 
     /// Reads the file again; a file with anything wrong in it is of no use as a whole.
@@ -36,6 +38,7 @@
         let parts = [
             ("name", config.name != self.name),
             ("listen", config.listen != self.listen),
+            ("mgmt", config.mgmt != self.mgmt),
             ("settings", config.site != self.site),
         ];
         let restart = parts.into_iter().filter(|(_, changed)| *changed).map(|(part, _)| part).collect();
@@ -66,6 +69,7 @@
         assert!(read("seed", json!("1")).is_ok_and(|new| new.restart.is_empty()));
         assert_eq!(read("limits", json!({"sockets": 256})).unwrap().sockets, 256);
         assert_eq!(read("listen", json!("127.0.0.1:1")).unwrap().restart, ["listen"]);
+        assert_eq!(read("mgmt", json!("127.0.0.1:1")).unwrap().restart, ["mgmt"]);
         let mut settings = sample()["settings"].clone();
         settings["Permissions"]["MaxAttempts"] = json!(2);
         assert_eq!(read("settings", settings).unwrap().restart, ["settings"]);
--- a/node/src/target_group.rs
+++ b/node/src/target_group.rs
@@ -113,6 +113,11 @@
         self.targets.get(&id)
     }
 
+    /// The targets on the list.
+    pub fn listed(&self) -> impl Iterator<Item = WorkerId> + '_ {
+        self.targets.keys().copied()
+    }
+
     /// Takes in a list or changes.
     pub fn apply(&mut self, list: List) -> Applied {
         self.version = list.version.or(self.version);
--- a/node/tests/serve.rs
+++ b/node/tests/serve.rs
@@ -13,6 +13,7 @@
     process: Child,
     log: BufReader<ChildStderr>,
     addr: SocketAddr,
+    mgmt: SocketAddr,
     target: TcpListener,
     discovery: TcpListener,
 }
@@ -27,8 +28,8 @@
     };
     let servers = (1..=targets).map(entry).collect::<Vec<_>>().join(",");
     let text = format!(
-        r#"{{"name": "n0", "listen": "127.0.0.1:0", "discovery": "{discovery}", "seed": "8c1f30d27a5be964",
-        "limits": {{"cores": 1.0, "memory_mb": 192, "sockets": 64}},
+        r#"{{"name": "n0", "listen": "127.0.0.1:0", "mgmt": "127.0.0.1:0", "discovery": "{discovery}", "seed": "8c1f30d27a5be964",
+        "limits": {{"cores": 1.0, "memory_mb": 192, "sockets": 82}},
         "known": {{"version": 41, "full": true, "servers": [{servers}]}},
         "settings": {{"Discovery": "ask", "Zones": ["a"], "Models": ["k"],
             "Permissions": {{"Cancel": true, "ConnectTimeoutMs": 5000, "KeepaliveMs": 60000, "MaxAttempts": 2}},
@@ -53,10 +54,14 @@
         let command = command.arg("serve").arg("--config").arg(config).env_remove("RUST_LOG");
         let mut process = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(process.stderr.take().unwrap());
-        let mut line = String::new();
-        log.read_line(&mut line).unwrap();
-        let addr = line.split("listening on ").nth(1).and_then(|l| l.split(',').next()).expect(&line);
-        Scheduler { addr: addr.parse().unwrap(), process, log, target, discovery }
+        let mut address = |before: &str| {
+            let mut line = String::new();
+            log.read_line(&mut line).unwrap();
+            let addr = line.split(before).nth(1).and_then(|l| l.trim().split(',').next()).expect(&line);
+            addr.parse().unwrap()
+        };
+        let (addr, mgmt) = (address("listening on "), address("operators call at "));
+        Scheduler { addr, mgmt, process, log, target, discovery }
     }
 
     fn connect(&self) -> Peer {
@@ -69,6 +74,20 @@
         assert_eq!(peer.message().0, "HTTP/1.1 200 OK");
     }
 
+    /// Makes an operator's call; gives its status and body.
+    fn call(&self, line: &str) -> (String, String) {
+        let mut peer = Peer::new(TcpStream::connect(self.mgmt).unwrap());
+        peer.send(&format!("{line} HTTP/1.1\r\nHost: m\r\n\r\n"));
+        let (status, _, body) = peer.message();
+        assert!(peer.ends());
+        (status.split(' ').nth(1).unwrap().into(), body)
+    }
+
+    /// Whether a call is answered with yes.
+    fn says_yes(&self, line: &str) -> bool {
+        self.call(line).0 == "200"
+    }
+
     /// Sends a signal to the process that this test has started.
     fn signal(&self, signal: &str) {
         let id = self.process.id().to_string();
@@ -221,7 +240,7 @@
 
 #[test]
 fn news_come_through_when_clients_hold_all_other_descriptors() {
-    // 64 descriptors: 13 of its own, 12 for targets, 9 of the other 39 for news, so that 30 jobs fill the rest.
+    // 82 descriptors: 13 of its own, 18 for operators, 12 for targets, 9 of the other 39 for news, so that 30 jobs fill the rest.
     let s = Scheduler::with("full", 8);
     let (took, taken) = std::sync::mpsc::channel();
     let target = s.target.try_clone().unwrap();
@@ -253,6 +272,34 @@
     assert_eq!(clients[0].message().0, "HTTP/1.1 200 OK");
 }
 
+#[test]
+fn operators_get_figures_and_a_no_to_what_is_none_whoever_else_says_nothing() {
+    let mut s = Scheduler::start("figures");
+    let silent: Vec<_> = (0..40).map(|_| TcpStream::connect(s.mgmt).unwrap()).collect();
+    assert!(s.says_yes("GET /healthcheck"));
+    let cases = [("GET /nothing", "404"), ("GET /healthcheck/fail", "405"), ("nonsense", "400")];
+    cases.into_iter().for_each(|(line, status)| assert_eq!(s.call(line).0, status, "{line}"));
+    let mut client = s.connect();
+    client.job("t1");
+    let mut target = Peer::new(s.target.accept().unwrap().0);
+    target.message();
+    let (served, flying) = (r#""served":{"render":1}"#, r#""attempts":1,"in_flight":1,"workers_known":1"#);
+    assert!(s.call("GET /stats").1.contains(flying));
+    target.send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    s.news(r#"{"id":"t1","from":"s-1","state":"done","result":"r"}"#);
+    client.message();
+    assert!(s.call("GET /stats").1.contains(served));
+    s.signal("-HUP");
+    s.logs("SIGHUP: discovery at");
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("figures.json");
+    std::fs::write(&path, "{").unwrap();
+    s.signal("-HUP");
+    s.logs("SIGHUP: the configuration stays as it was");
+    let last = r#""in_flight":0,"workers_known":1,"workers_excluded":0,"reloads_ok":1,"reloads_failed":1"#;
+    assert!(s.call("GET /stats").1.contains(last));
+    drop(silent);
+}
+
 #[test]
 fn silent_and_endless_clients_are_closed_and_keep_nobody_waiting() {
     let s = Scheduler::start("rude");
--- a/src/state.rs
+++ b/src/state.rs
@@ -656,6 +656,11 @@
         self.workers.get(&worker).is_some_and(Worker::ejected)
     }
 
+    /// Whether a worker gets nothing new although its list lets it.
+    pub fn avoids(&self, worker: WorkerId) -> bool {
+        self.ejected(worker)
+    }
+
     /// Tokens of a worker, for dashboards and tests: those in the bucket and those held by attempts.
     pub fn tokens(&self, worker: WorkerId) -> (usize, usize) {
         let held = self.workers.get(&worker).map_or(0, |w| w.held.max(0) as usize);
