Drain by call: say no at once, serve on for 1.5 s, then turn away until ok

`Drain` in drain.rs knew one cause only. Now it knows two, and listeners.rs turns jobs away once the time for open connections is over. Ruled out: closing only connections that are idle and new; one on which nothing is unread is closed, as in the way out. Test: a_drain_by_call_turns_clients_away_step_by_step_and_is_undone, and drain.rs for the times.

--- a/node/src/drain.rs
+++ b/node/src/drain.rs
@@ -1,4 +1,5 @@
-//! The end that SIGTERM begins: serve on for a while, finish what was taken, go.
+//! Sending clients away: for good after SIGTERM (serve on for a while, finish what was taken, go), and at an
+//! operator's call until the next.
 
 use crate::clock::Millis;
 
@@ -12,16 +13,23 @@
 /// scheduler takes them, as when the one before in a rolling restart is not yet back.
 const OPEN_PART: f64 = 0.55;
 
-/// Whether the scheduler is on its way out.
+/// The front asks every 100 ms and sends nobody new 200 ms after a no: so long after an operator's call, a client sent
+/// away could come back to here.
+const UNNOTICED: Millis = 400.0;
+/// After an operator's call open connections are served for so long; 2 s after it none may stand idle.
+const SERVED_ON: Millis = 1_500.0;
+
+/// Whether the scheduler sends clients away, for one cause or two: SIGTERM, which nothing undoes, and an operator's call.
 pub struct Drain {
     lasts: Millis,
     since: Option<Millis>,
+    called: Option<Millis>,
 }
 
 impl Drain {
     /// The way out of a scheduler whose clients wait so long at most.
     pub fn new(longest: Millis) -> Self {
-        Drain { lasts: longest.min(LONGEST) + BESIDES - MARGIN, since: None }
+        Drain { lasts: longest.min(LONGEST) + BESIDES - MARGIN, since: None, called: None }
     }
 
     /// SIGTERM has come; a second one changes nothing.
@@ -29,14 +37,30 @@
         self.since.get_or_insert(now);
     }
 
-    /// Whether it has begun.
+    /// An operator sends clients away; a second call changes nothing.
+    pub fn call(&mut self, now: Millis) {
+        self.called.get_or_insert(now);
+    }
+
+    /// An operator lets clients come again, however far the drain has come. The way out goes on.
+    pub fn undo(&mut self) {
+        self.called = None;
+    }
+
+    /// Whether clients are sent away.
     pub fn is_on(&self) -> bool {
+        self.since.is_some() || self.called.is_some()
+    }
+
+    /// Whether SIGTERM has come.
+    pub fn is_leaving(&self) -> bool {
         self.since.is_some()
     }
 
-    /// When connections without work are closed, and the program may end once no work is left.
+    /// When connections without work are closed; on the way out the program may end then, once no work is left.
     pub fn closes_at(&self) -> Option<Millis> {
-        self.since.map(|since| since + self.lasts * OPEN_PART)
+        let leaving = self.since.map(|since| since + self.lasts * OPEN_PART);
+        leaving.into_iter().chain(self.called.map(|called| called + SERVED_ON)).reduce(f64::min)
     }
 
     /// Whether connections are closed by now.
@@ -44,6 +68,23 @@
         self.closes_at().is_some_and(|at| now >= at)
     }
 
+    /// Whether the program may end once no work is left.
+    pub fn may_end(&self, now: Millis) -> bool {
+        self.is_leaving() && self.is_closing(now)
+    }
+
+    /// Whether connections outlive their answers; one that turns a client away is to end its connection sooner, so
+    /// that the client does not come back to here at once.
+    pub fn keeps(&self, now: Millis, turned_away: bool) -> bool {
+        let noticed = self.called.is_some_and(|called| now >= called + UNNOTICED);
+        !(noticed || self.is_closing(now) || self.is_on() && turned_away)
+    }
+
+    /// Whether jobs are turned away: an operator wants no work here, and the time for open connections is over.
+    pub fn refuses(&self, now: Millis) -> bool {
+        self.called.is_some_and(|called| now >= called + SERVED_ON)
+    }
+
     /// By when what comes after SIGTERM must have its answer.
     pub fn ends_at(&self) -> Option<Millis> {
         self.since.map(|since| since + self.lasts)
@@ -66,4 +107,25 @@
         short.begin(0.0);
         assert!(short.ends_at() == Some(1_000.0) && short.is_closing(560.0));
     }
+
+    #[test]
+    fn a_drain_by_call_serves_on_for_over_a_second_ends_within_two_and_is_undone_at_any_stage() {
+        let mut drain = Drain::new(20_000.0);
+        drain.call(100.0);
+        drain.call(1_000.0); // a second call puts nothing off
+        assert!(
+            drain.is_on() && !drain.is_leaving() && drain.keeps(100.0, false) && !drain.keeps(100.0, true)
+        );
+        // The front needs 300 ms to notice; a client whose connection ended before that might come back.
+        assert!(drain.keeps(100.0 + 300.0, false) && !drain.keeps(100.0 + 500.0, false));
+        assert!(!drain.refuses(1_200.0) && !drain.is_closing(1_200.0));
+        assert!(drain.refuses(2_000.0) && drain.is_closing(2_000.0) && !drain.may_end(1e9));
+        drain.undo();
+        assert!(!drain.is_on() && drain.keeps(2_000.0, true) && drain.closes_at().is_none());
+        drain.call(3_000.0);
+        drain.begin(3_100.0);
+        drain.undo();
+        assert!(drain.is_leaving() && !drain.refuses(1e9) && drain.closes_at() == Some(5_080.0));
+        assert!(!drain.may_end(5_000.0) && drain.may_end(5_100.0));
+    }
 }
--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -224,7 +224,7 @@
     }
 
     fn is_over(&self) -> bool {
-        self.drain.is_closing(self.clock.now())
+        self.drain.may_end(self.clock.now())
             && self.dispatch.unanswered() == 0
             && self.sockets.iter().all(|(_, s)| !s.owes())
     }
@@ -332,7 +332,7 @@
     }
 
     fn terminate(&mut self) {
-        if !self.drain.is_on() {
+        if !self.drain.is_leaving() {
             log::info!("SIGTERM: {} requests to finish", self.dispatch.unanswered());
         }
         self.drain.begin(self.clock.now());
--- a/node/src/event_loop/listeners.rs
+++ b/node/src/event_loop/listeners.rs
@@ -74,6 +74,12 @@
                     let status = if self.drain.is_on() { 503 } else { 200 };
                     self.reply(key, now, !self.drain.is_on(), |keep| http::response(status, &[], b"", keep));
                 }
+                Ask::Job(job) if self.drain.refuses(now) => {
+                    // No advice when to come back: another scheduler takes it at once.
+                    let refused = Answer::Refused { retry_after: 0.0 };
+                    self.dispatch.figures.ended(job.class, refused.kind());
+                    self.reply(key, now, false, |keep| refused.bytes(keep));
+                }
                 Ask::Job(job) if self.is_full() => {
                     self.short(now);
                     let set = &self.site.settings;
@@ -121,9 +127,7 @@
 
     /// Gives a client its final answer.
     pub(super) fn answer(&mut self, client: Key, answer: &Answer, now: Millis) {
-        // On the way out, what is turned away must not come back to here at once.
-        let turned_away = !matches!(answer, Answer::Served(_));
-        let keep = !(self.drain.is_closing(now) || self.drain.is_on() && turned_away);
+        let keep = self.drain.keeps(now, !matches!(answer, Answer::Served(_)));
         self.reply(client, now, keep, |keep| answer.bytes(keep));
         self.drive(client);
     }
--- a/node/src/event_loop/managers.rs
+++ b/node/src/event_loop/managers.rs
@@ -91,8 +91,20 @@
     }
 
     /// Does what a call asks; says yes or no.
-    fn obey(&mut self, call: Call, _now: Millis) -> bool {
-        matches!(call, Call::Healthcheck) && !self.drain.is_on()
+    fn obey(&mut self, call: Call, now: Millis) -> bool {
+        match call {
+            Call::Healthcheck => return !self.drain.is_on(),
+            Call::Drain => {
+                self.drain.call(now);
+                log::info!("drain by call: {} requests to finish", self.dispatch.unanswered());
+            }
+            Call::EndDrain => {
+                self.drain.undo();
+                log::info!("the drain by call is over");
+            }
+            Call::TakeOut(_) | Call::TakeBack(_) | Call::Stats => return false,
+        }
+        true
     }
 
     fn stats(&self) -> String {
--- a/node/tests/serve.rs
+++ b/node/tests/serve.rs
@@ -360,6 +360,41 @@
     assert_eq!(client.message().0, "HTTP/1.1 200 OK");
 }
 
+#[test]
+fn a_drain_by_call_turns_clients_away_step_by_step_and_is_undone() {
+    let mut s = Scheduler::start("drained-by-call");
+    let is_up = |s: &Scheduler| {
+        let mut up = s.connect();
+        up.send("GET /up HTTP/1.1\r\n\r\n");
+        up.message().0 == "HTTP/1.1 200 OK"
+    };
+    let (mut idle, mut client) = (s.connect(), s.connect());
+    idle.send("GET /up HTTP/1.1\r\n\r\n");
+    idle.message();
+    client.job("t1");
+    let mut target = Peer::new(s.target.accept().unwrap().0);
+    target.message();
+    target.send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    assert!(s.says_yes("PUT /healthcheck/fail") && s.says_yes("PUT /healthcheck/fail"));
+    assert!(!is_up(&s) && !s.says_yes("GET /healthcheck"));
+    assert!(idle.ends()); // in the end; what is under way goes on
+    let mut late = s.connect();
+    late.job("t2");
+    let (line, head, _) = late.message();
+    assert!(
+        line == "HTTP/1.1 503 Service Unavailable" && head.contains("Connection: close\r\n") && late.ends()
+    );
+    s.news(r#"{"id":"t1","from":"s-1","state":"done","result":"r"}"#);
+    let (line, head, _) = client.message();
+    assert!(line == "HTTP/1.1 200 OK" && head.contains("Connection: close\r\n"));
+    assert!(s.call("GET /stats").1.contains(r#""served":{"render":1},"refused":{"render":1}"#));
+    assert!(s.says_yes("PUT /healthcheck/ok") && is_up(&s) && s.says_yes("GET /healthcheck"));
+    assert!(s.process.try_wait().unwrap().is_none());
+    late = s.connect();
+    late.job("t3");
+    assert!(target.message().1.contains("X-Trace-Id: t3\r\n"));
+}
+
 #[test]
 fn sigterm_lets_work_end_before_the_program_does() {
     let mut s = Scheduler::start("drained");
