Workers taken out by hand stay out until the call back, then count as cold

Now `Event::TakenOut` and `Event::TakenBack` (interface.rs), a set of their own in `Dispatcher`, and `takes` in the place of `ready` wherever rules.rs gives tokens, counts the fleet or keeps the ring. Ruled out: the ejection limit counting workers that are out (`ready` counts those that take jobs). Workers under 0.3 of their capacity are spared as before, so that one put back so cold may wait for work; at this site they start with 0.37 or more.

--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -111,6 +111,16 @@
         self.events.push(Event::ListMoved);
     }
 
+    /// An operator has taken a target out.
+    pub fn taken_out(&mut self, target: WorkerId) {
+        self.events.push(Event::TakenOut(target));
+    }
+
+    /// An operator has taken a target back.
+    pub fn taken_back(&mut self, target: WorkerId) {
+        self.events.push(Event::TakenBack(target));
+    }
+
     /// The scheduler ends: jobs that come from now on must have their answers by then. Guards against: a job
     /// taken on the way out that the end of the process leaves without an answer.
     pub fn ends_at(&mut self, at: Millis) {
--- a/node/src/event_loop/managers.rs
+++ b/node/src/event_loop/managers.rs
@@ -80,20 +80,19 @@
                 let json = [("Content-Type", "application/json".to_string())];
                 http::response(200, &json, self.stats().as_bytes(), false)
             }
-            Ok(Ok(call)) => {
-                let yes = self.obey(call, now);
-                http::response(if yes { 200 } else { 503 }, &[], b"", false)
+            Ok(Ok(Call::Healthcheck)) => {
+                http::response(if self.drain.is_on() { 503 } else { 200 }, &[], b"", false)
             }
+            Ok(Ok(call)) => http::response(if self.obey(&call, now) { 200 } else { 404 }, &[], b"", false),
         };
         if let Some(Socket { role: Role::Manager(c), .. }) = self.socket(key) {
             c.answer(&answer, false, now);
         }
     }
 
-    /// Does what a call asks; says yes or no.
-    fn obey(&mut self, call: Call, now: Millis) -> bool {
+    /// Does what a call asks; says whether what it names is there.
+    fn obey(&mut self, call: &Call, now: Millis) -> bool {
         match call {
-            Call::Healthcheck => return !self.drain.is_on(),
             Call::Drain => {
                 self.drain.call(now);
                 log::info!("drain by call: {} requests to finish", self.dispatch.unanswered());
@@ -102,7 +101,17 @@
                 self.drain.undo();
                 log::info!("the drain by call is over");
             }
-            Call::TakeOut(_) | Call::TakeBack(_) | Call::Stats => return false,
+            Call::TakeOut(name) => {
+                let Some(target) = self.group.take_out(name) else { return false };
+                self.dispatch.taken_out(target);
+                log::info!("{name} is taken out");
+            }
+            Call::TakeBack(name) => {
+                let Some(target) = self.group.take_back(name) else { return false };
+                self.dispatch.taken_back(target);
+                log::info!("{name} is taken back");
+            }
+            Call::Healthcheck | Call::Stats => {}
         }
         true
     }
--- a/node/src/target_group.rs
+++ b/node/src/target_group.rs
@@ -7,7 +7,7 @@
 use postusher_settings::{micros, Site};
 use serde::Deserialize;
 use serde_json::Value;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -81,6 +81,8 @@
 /// The targets that the list has named.
 pub struct TargetGroup {
     targets: HashMap<WorkerId, Target>,
+    /// Those that an operator has taken out, on the list or not: their numbers stay theirs.
+    taken_out: BTreeMap<WorkerId, Rc<str>>,
     version: Option<u64>,
     zones: Vec<String>,
     models: Vec<String>,
@@ -105,7 +107,7 @@
     /// No targets.
     pub fn new(site: &Site) -> Self {
         let (zones, models) = (site.zones.clone(), site.models.clone());
-        TargetGroup { targets: HashMap::new(), version: None, zones, models }
+        TargetGroup { targets: HashMap::new(), taken_out: BTreeMap::new(), version: None, zones, models }
     }
 
     /// A target that the list has named.
@@ -164,12 +166,34 @@
     /// is taken by another name.
     fn id(&self, name: &str) -> WorkerId {
         let mut id = WorkerId(fnv(name.as_bytes()) as u32);
-        while self.targets.get(&id).is_some_and(|t| *t.name != *name) {
+        while self.name(id).is_some_and(|n| **n != *name) {
             id.0 = id.0.wrapping_add(1);
         }
         id
     }
 
+    /// Whose number this is.
+    fn name(&self, id: WorkerId) -> Option<&Rc<str>> {
+        self.targets.get(&id).map(|t| &t.name).or_else(|| self.taken_out.get(&id))
+    }
+
+    /// An operator takes a target out; `None` if the list does not name it and it is not out already. Guards
+    /// against: a slip of the pen that is taken for a target.
+    pub fn take_out(&mut self, name: &str) -> Option<WorkerId> {
+        let id = self.id(name);
+        let name = self.name(id)?.clone();
+        self.taken_out.insert(id, name);
+        Some(id)
+    }
+
+    /// An operator takes a target back, likewise; one call undoes any number of those out.
+    pub fn take_back(&mut self, name: &str) -> Option<WorkerId> {
+        let id = self.id(name);
+        self.name(id)?;
+        self.taken_out.remove(&id);
+        Some(id)
+    }
+
     /// The next call to discovery, and how long its answer may take: the changes since the version held, or
     /// the whole list where none is held.
     pub fn call(&self, host: SocketAddr) -> (Vec<u8>, Millis) {
@@ -261,6 +285,19 @@
         assert!(group.get(members[1].worker).is_none());
     }
 
+    #[test]
+    fn a_target_out_keeps_its_number_off_the_list_and_an_unknown_one_is_none() {
+        let mut group = TargetGroup::new(&config().site);
+        assert!(group.take_out("s-1").is_none() && group.take_back("s-1").is_none());
+        let id = group.apply(list(true, json!([server("s-1", "up")]))).members[0].worker;
+        assert_eq!((group.take_out("s-1"), group.take_out("s-1")), (Some(id), Some(id)));
+        group.apply(list(true, json!([])));
+        assert_eq!(group.take_out("s-1"), Some(id));
+        assert_eq!(group.apply(list(true, json!([server("s-1", "up")]))).members[0].worker, id);
+        assert_eq!(group.take_back("s-1"), Some(id));
+        assert_eq!(group.take_back("s-1"), Some(id)); // a second call back changes nothing
+    }
+
     #[test]
     fn a_bad_entry_is_left_out_and_a_bad_list_is_an_error() {
         assert_eq!(list(true, json!([{"id": "s-1"}, server("s-2", "up")])).entries.len(), 1);
--- a/node/tests/serve.rs
+++ b/node/tests/serve.rs
@@ -360,6 +360,23 @@
     assert_eq!(client.message().0, "HTTP/1.1 200 OK");
 }
 
+#[test]
+fn a_target_taken_out_gets_nothing_until_it_is_taken_back() {
+    let mut s = Scheduler::start("taken-out");
+    let mut client = s.connect();
+    assert!(!s.says_yes("PUT /workers/s-9/maint") && !s.says_yes("PUT /workers/s-9/ready"));
+    assert!(s.says_yes("PUT /workers/s-1/maint") && s.says_yes("PUT /workers/s-1/maint"));
+    assert!(s.call("GET /stats").1.contains(r#""workers_known":1,"workers_excluded":1"#));
+    s.signal("-HUP");
+    s.logs("SIGHUP: discovery at");
+    client.job("t1");
+    assert_eq!(client.message().0, "HTTP/1.1 503 Service Unavailable");
+    assert!(s.says_yes("PUT /workers/s-1/ready"));
+    assert!(s.call("GET /stats").1.contains(r#""workers_excluded":0"#));
+    client.job("t2");
+    assert!(Peer::new(s.target.accept().unwrap().0).message().1.contains("X-Trace-Id: t2\r\n"));
+}
+
 #[test]
 fn a_drain_by_call_turns_clients_away_step_by_step_and_is_undone() {
     let mut s = Scheduler::start("drained-by-call");
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -240,6 +240,10 @@
     Members { kind: ListKind, members: Vec<Member> },
     /// The list is kept elsewhere from now on: it has to be asked for there, whatever failed before.
     ListMoved,
+    /// An operator takes a worker out: nothing new may go there, whatever the list says, until it is taken back.
+    TakenOut(WorkerId),
+    /// And takes it back.
+    TakenBack(WorkerId),
     /// A client's job; the dispatcher owes one final answer.
     Arrived(Job),
     /// The job has started on the worker.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -65,6 +65,8 @@
                 (self.list_failures, self.list_moved) = (0, Some(self.now));
                 out.push(Action::Subscribe);
             }
+            Event::TakenOut(id) => self.taken(id, true),
+            Event::TakenBack(id) => self.taken(id, false),
             Event::Arrived(job) => self.arrived(job, out),
             Event::Started { job, leg } | Event::Progress { job, leg, .. } => self.note(job, leg, out),
             Event::Streaming { job, .. } => drop(self.requests.entry(job).and_modify(|r| r.streaming = true)),
@@ -112,7 +114,7 @@
         let gone = if kind == ListKind::Delta { Vec::new() } else { self.unlisted(&members) };
         gone.into_iter().for_each(|m| self.member(Member { readiness: Readiness::Gone, ..m }));
         members.into_iter().for_each(|m| self.member(m));
-        self.ready = self.workers.values().filter(|w| w.ready()).count();
+        self.ready = self.workers.values().filter(|w| self.takes(w)).count();
         if kind == ListKind::Cached {
             self.bucket.shuffle(&mut self.rng); // dispatchers must not all begin with the same worker
         }
@@ -124,23 +126,43 @@
         self.bucket.shelve(id, self.shelves(&m));
         match self.workers.get_mut(&id) {
             Some(w) if w.member.up_since == m.up_since || m.readiness == Readiness::Gone => w.member = m,
-            old => {
-                // A restart makes what was known of the worker void, but not the tokens still out.
-                let (held, legs) = old.map_or((0, Vec::new()), |w| (w.held, std::mem::take(&mut w.out)));
-                self.bucket.shrink(id, i64::MAX);
-                let credit = self.rng.next() * self.run.or(REPORT_SPAN as f64);
-                self.workers.insert(id, Worker::new(m, held, legs, credit, self.now));
-                self.cold.push_back(id);
-            }
+            _ => self.renew(m, 0),
         }
-        self.ring.keep(id, self.workers.get(&id).is_some_and(|w| w.ready() && self.set.fetch_price > 0.0));
+        self.shift(id);
+    }
+
+    /// A restart makes what was known of a worker void, but not the tokens still out.
+    fn renew(&mut self, m: Member, back: Micros) {
+        let (id, old) = (m.worker, self.workers.get_mut(&m.worker));
+        let (held, legs) = old.map_or((0, Vec::new()), |w| (w.held, std::mem::take(&mut w.out)));
+        self.bucket.shrink(id, i64::MAX);
+        let credit = self.rng.next() * self.run.or(REPORT_SPAN as f64);
+        self.workers.insert(id, Worker { back, ..Worker::new(m, held, legs, credit, self.now) });
+        self.cold.push_back(id);
+    }
+
+    /// A worker may take jobs now, or may not any more.
+    fn shift(&mut self, id: WorkerId) {
+        self.ring
+            .keep(id, self.workers.get(&id).is_some_and(|w| self.takes(w) && self.set.fetch_price > 0.0));
         self.sync(id);
     }
 
-    /// Part of its capacity that a worker has at least, by the time since it started.
+    /// An operator takes a worker out or back. One that is back has mostly been restarted, and the list tells of
+    /// that late: guards against old failures that keep it idle, and against more than a cold one can take.
+    fn taken(&mut self, id: WorkerId, away: bool) {
+        let changes = if away { self.taken_out.insert(id) } else { self.taken_out.remove(&id) };
+        let member = self.workers.get(&id).filter(|_| changes && !away).map(|w| w.member.clone());
+        member.into_iter().for_each(|m| self.renew(m, self.now));
+        self.ready = self.workers.values().filter(|w| self.takes(w)).count();
+        self.shift(id);
+    }
+
+    /// Part of its capacity that a worker has at least, by the time since it started or was taken back.
     fn warmth(&self, w: &Worker) -> f64 {
-        let age = self.now.saturating_sub(w.member.up_since);
-        if w.member.up_since == 0 || age >= self.set.warm_after {
+        let since = w.member.up_since.max(w.back);
+        let age = self.now.saturating_sub(since);
+        if since == 0 || age >= self.set.warm_after {
             return 1.0;
         }
         self.set.cold_from + (1.0 - self.set.cold_from) * age as f64 / self.set.warm_after as f64
@@ -173,7 +195,7 @@
     /// How many tokens a worker has: its slots, and as many again for jobs that wait.
     fn count(&self, w: &Worker) -> i64 {
         let one = if w.held == 0 { self.most_slots } else { 0 };
-        match w.ready() && !w.ejected() {
+        match self.takes(w) && !w.ejected() {
             true if self.warmth(w) < 1.0 || w.on_trial() => self.ours(w).max(one),
             true if self.mean_slots.0.is_none() => DEFAULT_TOKENS + self.most_slots,
             true => (2.0 * self.known(w) as f64 * self.speed(w)).round().max(self.most_slots as f64) as i64,
@@ -207,7 +229,7 @@
     fn sync(&mut self, id: WorkerId) {
         let Some(w) = self.workers.get(&id) else { return };
         let (want, credit) = ((self.count(w) - w.held).max(0), self.credit(w));
-        let watch = w.held > 0 || w.ready() && w.ejected();
+        let watch = w.held > 0 || self.takes(w) && w.ejected();
         let forget = w.member.readiness == Readiness::Gone && w.out.is_empty();
         self.bucket.resize(id, want, (!w.on_trial()).then_some(&mut self.rng));
         self.workers.entry(id).and_modify(|w| (w.credit, w.credited) = (credit, self.now));
@@ -655,7 +677,7 @@
         for _ in 0..self.cold.len().div_ceil(10) {
             let Some(id) = self.cold.pop_front() else { break };
             self.sync(id);
-            let cold = self.workers.get(&id).filter(|w| w.ready() && self.warmth(w) < 1.0);
+            let cold = self.workers.get(&id).filter(|w| self.takes(w) && self.warmth(w) < 1.0);
             self.cold.extend(cold.map(|_| id));
         }
         for id in self.watched.iter().copied().collect::<Vec<_>>() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -53,6 +53,8 @@
     /// Work that it may be sent while cold, as of a time.
     pub credit: f64,
     pub credited: Micros,
+    /// When an operator took it back; 0: never since its start.
+    pub back: Micros,
 }
 
 /// A class at a worker: turned away there until then, so many times on end; never: served.
@@ -290,6 +292,7 @@
             out,
             credit,
             credited: now,
+            back: 0,
         }
     }
 
@@ -534,6 +537,8 @@
     pub(crate) rng: Rng,
     pub(crate) now: Micros,
     pub(crate) workers: ById<WorkerId, Worker>,
+    /// Taken out by an operator, listed or not.
+    pub(crate) taken_out: BTreeSet<WorkerId>,
     pub(crate) bucket: Bucket,
     pub(crate) requests: ById<JobId, Request>,
     /// Jobs that are not over, in order of arrival, by key, for classes that keep order.
@@ -658,7 +663,12 @@
 
     /// Whether a worker gets nothing new although its list lets it.
     pub fn avoids(&self, worker: WorkerId) -> bool {
-        self.ejected(worker)
+        self.taken_out.contains(&worker) || self.ejected(worker)
+    }
+
+    /// Whether the list and the operators let a worker take jobs.
+    pub(crate) fn takes(&self, w: &Worker) -> bool {
+        w.ready() && !self.taken_out.contains(&w.member.worker)
     }
 
     /// Tokens of a worker, for dashboards and tests: those in the bucket and those held by attempts.
