Upgrade under load: a second process takes over the address and what the first knows

Also: a test showed figures from before a call that had its yes already (the module hears of it at the turn's end). Calls are now answered after the turn's decisions (`answer_calls`). Ruled out so far, by tests: a stale socket file, the new process killed before and after it takes clients, the old one killed before the new one has a list, one id under way at both, news that the wrong process accepts.

--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -32,6 +32,8 @@
     Withdraw { target: WorkerId, trace: Rc<str> },
     /// Look at a target's load.
     Probe(WorkerId),
+    /// A client's id may come again.
+    Over(Rc<str>),
     /// Keep a watch on the list.
     Watch,
     /// Close the idle connections to a target.
@@ -164,6 +166,21 @@
         self.doubtful.push(id);
     }
 
+    /// Whether a job under this id is under way.
+    pub fn has(&self, trace: &str) -> bool {
+        self.by_trace.contains_key(trace)
+    }
+
+    /// The client's id for a job.
+    pub fn trace(&self, id: JobId) -> Option<Rc<str>> {
+        self.requests.get(&id).map(|r| r.trace.clone())
+    }
+
+    /// The ids of the jobs under way.
+    pub fn open_ids(&self) -> impl Iterator<Item = &str> + '_ {
+        self.by_trace.keys().map(|trace| &**trace)
+    }
+
     /// A target's news. What is late, repeated or of no job here changes nothing.
     pub fn news(&mut self, news: News, now: Millis) {
         let Some(id) = self.by_trace.get(news.trace.as_str()).copied() else { return };
@@ -415,7 +432,10 @@
         if r.answered && r.legs.iter().all(|l| !l.out) {
             if self.events.is_empty() {
                 let over = self.requests.remove(&id);
-                over.map(|r| self.by_trace.remove(&r.trace));
+                if let Some(r) = over {
+                    self.by_trace.remove(&r.trace);
+                    self.deeds.push(Deed::Over(r.trace));
+                }
             } else {
                 self.doubtful.push(id);
             }
--- a/node/src/drain.rs
+++ b/node/src/drain.rs
@@ -13,6 +13,9 @@
 /// scheduler takes them, as when the one before in a rolling restart is not yet back.
 const OPEN_PART: f64 = 0.55;
 
+/// The same where a newer process takes clients: those that use a connection are told to open another, and few are
+/// left whose next request could cross its end.
+const SUCCEEDED_PART: f64 = 0.85;
 /// The front asks every 100 ms and sends nobody new 200 ms after a no: so long after an operator's call, a client sent
 /// away could come back to here.
 const UNNOTICED: Millis = 400.0;
@@ -24,12 +27,22 @@
     lasts: Millis,
     since: Option<Millis>,
     called: Option<Millis>,
+    /// The call came to the process before.
+    inherited: bool,
+    /// A newer process takes clients in the place of this one.
+    successor: bool,
 }
 
 impl Drain {
     /// The way out of a scheduler whose clients wait so long at most.
     pub fn new(longest: Millis) -> Self {
-        Drain { lasts: longest.min(LONGEST) + BESIDES - MARGIN, since: None, called: None }
+        Drain {
+            lasts: longest.min(LONGEST) + BESIDES - MARGIN,
+            since: None,
+            called: None,
+            inherited: false,
+            successor: false,
+        }
     }
 
     /// SIGTERM has come; a second one changes nothing.
@@ -40,6 +53,23 @@
     /// An operator sends clients away; a second call changes nothing.
     pub fn call(&mut self, now: Millis) {
         self.called.get_or_insert(now);
+        self.inherited = false;
+    }
+
+    /// An operator has sent clients away from the process before.
+    pub fn inherit(&mut self, now: Millis) {
+        self.call(now);
+        self.inherited = true;
+    }
+
+    /// A newer process takes clients in the place of this one, or does so no more.
+    pub fn succeeded(&mut self, by_newer: bool) {
+        self.successor = by_newer;
+    }
+
+    /// Whether a newer process takes clients.
+    pub fn has_successor(&self) -> bool {
+        self.successor
     }
 
     /// An operator lets clients come again, however far the drain has come. The way out goes on.
@@ -47,9 +77,20 @@
         self.called = None;
     }
 
-    /// Whether clients are sent away.
+    /// Whether clients are sent away. On the way out of an upgrade they are not: the scheduler takes them.
     pub fn is_on(&self) -> bool {
-        self.since.is_some() || self.called.is_some()
+        self.since.is_some() && !self.successor || self.called.is_some()
+    }
+
+    /// Whether an operator sends clients away.
+    pub fn is_called(&self) -> bool {
+        self.called.is_some()
+    }
+
+    /// Whether the process is fit to take clients. A drain taken over does not count here, as an upgrade in a drain
+    /// would never end.
+    pub fn is_healthy(&self) -> bool {
+        self.since.is_none() && (self.called.is_none() || self.inherited)
     }
 
     /// Whether SIGTERM has come.
@@ -59,7 +100,8 @@
 
     /// When connections without work are closed; on the way out the program may end then, once no work is left.
     pub fn closes_at(&self) -> Option<Millis> {
-        let leaving = self.since.map(|since| since + self.lasts * OPEN_PART);
+        let part = if self.successor { SUCCEEDED_PART } else { OPEN_PART };
+        let leaving = self.since.map(|since| since + self.lasts * part);
         leaving.into_iter().chain(self.called.map(|called| called + SERVED_ON)).reduce(f64::min)
     }
 
@@ -77,7 +119,7 @@
     /// that the client does not come back to here at once.
     pub fn keeps(&self, now: Millis, turned_away: bool) -> bool {
         let noticed = self.called.is_some_and(|called| now >= called + UNNOTICED);
-        !(noticed || self.is_closing(now) || self.is_on() && turned_away)
+        !(noticed || self.successor || self.is_closing(now) || self.is_on() && turned_away)
     }
 
     /// Whether jobs are turned away: an operator wants no work here, and the time for open connections is over.
@@ -128,4 +170,25 @@
         assert!(drain.is_leaving() && !drain.refuses(1e9) && drain.closes_at() == Some(5_080.0));
         assert!(!drain.may_end(5_000.0) && drain.may_end(5_100.0));
     }
+
+    #[test]
+    fn with_a_successor_the_way_out_sends_nobody_away_and_closes_late() {
+        let mut drain = Drain::new(20_000.0);
+        drain.succeeded(true);
+        assert!(!drain.is_on() && !drain.keeps(0.0, false) && drain.closes_at().is_none());
+        drain.begin(100.0);
+        assert!(!drain.is_on() && !drain.is_healthy() && !drain.may_end(3_000.0) && drain.may_end(3_200.0));
+        // Should the successor die, this is a way out like any other.
+        drain.succeeded(false);
+        assert!(drain.is_on() && drain.may_end(2_100.0));
+    }
+
+    #[test]
+    fn a_drain_taken_over_lasts_and_leaves_the_new_process_fit() {
+        let mut drain = Drain::new(20_000.0);
+        drain.inherit(0.0);
+        assert!(drain.is_on() && drain.is_called() && drain.is_healthy());
+        drain.call(10.0); // now it was told itself
+        assert!(!drain.is_healthy() && drain.refuses(2_000.0));
+    }
 }
--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -6,6 +6,7 @@
 use crate::drain::Drain;
 use crate::figures::Final;
 use crate::forward::{self, Pool, Task};
+use crate::handover::{self, Message};
 use crate::http::{Outbox, RequestLine};
 use crate::invariant;
 use crate::listener::{self, State};
@@ -22,19 +23,25 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use upgrade::Upgrade;
 
 mod forwards;
 mod listeners;
 mod managers;
 mod sockets;
+mod upgrade;
 mod watch;
 
 const LISTENER: Token = Token(usize::MAX);
 const SIGNAL: Token = Token(usize::MAX - 1);
 const MANAGEMENT: Token = Token(usize::MAX - 2);
-/// Descriptors beside the connections of clients and targets: standard streams, poll, listener, signals, discovery,
-/// and room for what libraries open.
+const PEER: Token = Token(usize::MAX - 3);
+const DOOR: Token = Token(usize::MAX - 4);
+/// Descriptors beside the connections of clients and targets: standard streams, poll, listener, signals, discovery, the
+/// other process of an upgrade, and room for what libraries open.
 const OWN_DESCRIPTORS: usize = 13;
+/// A process that shares few descriptors with another in an upgrade has this many connections all the same.
+const FEWEST_CONNECTIONS: usize = 8;
 /// One in so many of the others is for connections to targets.
 const FORWARDS_ONE_IN: usize = 4;
 /// The loop looks around at least this often.
@@ -47,7 +54,7 @@
 /// How many connections from outside and to targets there may be, of so many descriptors.
 fn shares(descriptors: usize, managed: bool) -> (usize, usize) {
     let own = OWN_DESCRIPTORS + if managed { managers::DESCRIPTORS } else { 0 };
-    let connections = descriptors - own;
+    let connections = descriptors.saturating_sub(own).max(FEWEST_CONNECTIONS);
     (connections - connections / FORWARDS_ONE_IN, connections / FORWARDS_ONE_IN)
 }
 
@@ -123,12 +130,17 @@
     /// Where operators call, and how many of their connections there are.
     management: Option<TcpListener>,
     managers: usize,
+    /// Calls of this turn with their answers; none: the figures.
+    called: Vec<(Key, Option<Vec<u8>>)>,
     /// When to look for new connections unasked; 0: not before one is told of.
     accept_at: Millis,
     /// Connections that have had their part of a turn and may have more.
     again: Vec<Key>,
     signals: Signals,
     reload: Reload,
+    upgrade: Upgrade,
+    /// Descriptors of the scheduler, which two processes share in an upgrade.
+    descriptors: usize,
     sockets: Slab<Socket>,
     serial: u64,
     /// Connections that others opened, and how many there may be.
@@ -160,9 +172,11 @@
     pub fn new(config: Config, reload: Reload, mut signals: Signals, clock: Clock) -> io::Result<EventLoop> {
         let now = clock.now();
         let poll = Poll::new()?;
-        let mut listener = TcpListener::bind(config.listen)
+        let path = handover::meeting_place(config.listen);
+        let start = upgrade::start(config.listen, path.as_deref(), &clock)
             .map_err(|e| io::Error::new(e.kind(), format!("listening on {}: {e}", config.listen)))?;
-        poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+        start.listener.set_nonblocking(true)?;
+        let listener = TcpListener::from_std(start.listener);
         poll.registry().register(&mut signals, SIGNAL, Interest::READABLE)?;
         let management = config.mgmt.map(|addr| managers::listen(addr, poll.registry())).transpose()?;
         let (most_listeners, most_forwards) = shares(config.sockets, management.is_some());
@@ -181,7 +195,7 @@
         if let Some(management) = &management {
             log::info!("{}: operators call at {}", config.name, management.local_addr()?);
         }
-        Ok(EventLoop {
+        let mut new = EventLoop {
             poll,
             clock,
             site,
@@ -189,10 +203,13 @@
             listener,
             management,
             managers: 0,
-            accept_at: now,
+            called: Vec::new(),
+            accept_at: 0.0,
             again: Vec::new(),
             signals,
             reload,
+            upgrade: Upgrade::new(path),
+            descriptors: config.sockets,
             sockets: Slab::new(),
             serial: 0,
             listeners: 0,
@@ -208,7 +225,9 @@
             counters_at: now + COUNTERS_EVERY,
             short_at: now,
             scratch: vec![0; 64 * 1024],
-        })
+        };
+        new.follow(start.before)?;
+        Ok(new)
     }
 
     /// Runs until SIGTERM and the end of all work.
@@ -218,13 +237,16 @@
             self.sleep(&mut events)?;
             self.gather(&events);
             self.decide_and_act();
+            self.answer_calls(self.clock.now());
         }
         self.log_counters("at the end");
         Ok(())
     }
 
     fn is_over(&self) -> bool {
-        self.drain.may_end(self.clock.now())
+        // Once its successor takes clients, a process may end with its last connection.
+        let left = self.drain.is_leaving() && self.drain.has_successor() && self.listeners == 0;
+        (left || self.drain.may_end(self.clock.now()))
             && self.dispatch.unanswered() == 0
             && self.sockets.iter().all(|(_, s)| !s.owes())
     }
@@ -255,6 +277,8 @@
                 MANAGEMENT => self.accept_managers(),
                 LISTENER => self.accept(),
                 SIGNAL => self.signalled(),
+                PEER => self.peer_ready(),
+                DOOR => self.knocked(),
                 Token(slot) => self.ready(slot),
             }
         }
@@ -311,6 +335,7 @@
                 let line = RequestLine { method: "GET".into(), target: path.into() };
                 self.call(target, Task::Probe(target), &line, now);
             }
+            Deed::Over(id) => self.tell(|| Message::Over(id.to_string())),
             Deed::Watch => {
                 if self.watch.is_none() {
                     self.watch(now);
@@ -350,7 +375,8 @@
             }
         };
         self.dispatch.figures.reloads_ok += 1;
-        (self.most_listeners, self.most_forwards) = shares(new.sockets, self.management.is_some());
+        self.descriptors = new.sockets;
+        self.share();
         let moved = new.discovery != self.discovery;
         log::info!("SIGHUP: discovery at {}{}", new.discovery, if moved { "" } else { ", as before" });
         if !new.restart.is_empty() {
--- a/node/src/event_loop/listeners.rs
+++ b/node/src/event_loop/listeners.rs
@@ -3,6 +3,7 @@
 use super::{EventLoop, Key, Role, Socket};
 use crate::answer::Answer;
 use crate::clock::Millis;
+use crate::handover::Message;
 use crate::http;
 use crate::intake::{self, Ask};
 use crate::listener;
@@ -23,6 +24,9 @@
 impl EventLoop {
     /// Takes connections that wait, as far as descriptors allow.
     pub(super) fn accept(&mut self) {
+        if !self.upgrade.takes_clients {
+            return;
+        }
         let now = self.clock.now();
         // What is left after this turn's part is looked for in the next.
         self.accept_at = now;
@@ -71,8 +75,9 @@
             };
             match intake::read(message, &self.site) {
                 Ask::Up => {
-                    let status = if self.drain.is_on() { 503 } else { 200 };
-                    self.reply(key, now, !self.drain.is_on(), |keep| http::response(status, &[], b"", keep));
+                    let up = !self.drain.is_on();
+                    let (status, keep) = if up { (200, self.drain.keeps(now, false)) } else { (503, false) };
+                    self.reply(key, now, keep, |keep| http::response(status, &[], b"", keep));
                 }
                 Ask::Job(job) if self.drain.refuses(now) => {
                     // No advice when to come back: another scheduler takes it at once.
@@ -89,8 +94,15 @@
                     self.dispatch.figures.ended(job.class, refused.kind());
                     self.reply(key, now, false, |keep| refused.bytes(keep));
                 }
+                // Guards against: two jobs under one id at the two processes of an upgrade.
+                Ask::Job(job) if self.upgrade.foreign.contains(&job.trace) => {
+                    self.reply(key, now, false, |keep| http::response(409, &[], b"", keep));
+                }
                 Ask::Job(job) => match self.dispatch.arrived(key, *job, now) {
                     Ok(id) => {
+                        if let Some(trace) = self.dispatch.trace(id) {
+                            self.tell(|| Message::Open(trace.to_string()));
+                        }
                         if let Some(Socket { role: Role::Listener(_, job), .. }) = self.socket(key) {
                             *job = Some(id);
                         }
@@ -105,8 +117,11 @@
                 Ask::News(body) => {
                     let news = News::read(&body, &self.site);
                     let status = if news.is_some() { 200 } else { 400 };
-                    if let Some(news) = news {
-                        self.dispatch.news(news, now);
+                    match news {
+                        Some(news) if self.dispatch.has(&news.trace) => self.dispatch.news(news, now),
+                        // Targets reach whichever process accepts: it may be a job of the other's.
+                        Some(_) => self.tell(|| Message::News(String::from_utf8_lossy(&body).into_owned())),
+                        None => {}
                     }
                     if let Some(Socket { role: Role::Listener(c, _), .. }) = self.socket(key) {
                         c.brings_news = true;
@@ -134,7 +149,7 @@
 
     /// Closes a client's connection that is of little use: one that has had its last answer, else one that
     /// stands idle.
-    fn free_listener(&mut self) -> bool {
+    pub(super) fn free_listener(&mut self) -> bool {
         let over = |s: &Socket| matches!(&s.role, Role::Listener(c, _) if c.shut);
         let over = self.sockets.iter().find(|(_, s)| over(s)).map(|(_, s)| s.key);
         over.or_else(|| self.idle_listener()).map(|key| self.close(key)).is_some()
--- a/node/src/event_loop/managers.rs
+++ b/node/src/event_loop/managers.rs
@@ -3,6 +3,7 @@
 use super::{EventLoop, Key, Role, Socket, MANAGEMENT};
 use crate::clock::Millis;
 use crate::figures::Gauges;
+use crate::handover::Message;
 use crate::http;
 use crate::listener;
 use crate::management::{self, Call, No};
@@ -68,30 +69,47 @@
         oldest.map(|key| self.close(key)).is_some()
     }
 
-    /// Answers the call that has come whole on a connection; there is one on each.
+    /// Takes the call that has come whole on a connection; there is one on each.
     pub(super) fn calls(&mut self, key: Key, now: Millis) {
         let Some(Socket { role: Role::Manager(c), .. }) = self.socket(key) else { return };
         let Some(next) = c.next() else { return };
+        let status = |status| Some(http::response(status, &[], b"", false));
         let answer = match next.map(|message| management::read(&message.line)) {
-            Err(fault) => http::response(fault.0, &[], b"", false),
-            Ok(Err(No::Unknown)) => http::response(404, &[], b"", false),
-            Ok(Err(No::Method(allow))) => http::response(405, &[("Allow", allow.to_string())], b"", false),
-            Ok(Ok(Call::Stats)) => {
-                let json = [("Content-Type", "application/json".to_string())];
-                http::response(200, &json, self.stats().as_bytes(), false)
-            }
+            Err(fault) => status(fault.0),
+            Ok(Err(No::Unknown)) => status(404),
+            Ok(Err(No::Method(allow))) => Some(http::response(405, &[("Allow", allow.into())], b"", false)),
+            Ok(Ok(Call::Stats)) => None,
             Ok(Ok(Call::Healthcheck)) => {
-                http::response(if self.drain.is_on() { 503 } else { 200 }, &[], b"", false)
+                let takes = self.upgrade.takes_clients && self.drain.is_healthy();
+                status(if takes { 200 } else { 503 })
+            }
+            Ok(Ok(call)) => {
+                let there = self.obey(&call, now);
+                if there {
+                    self.tell(|| Message::Called(call));
+                }
+                status(if there { 200 } else { 404 })
             }
-            Ok(Ok(call)) => http::response(if self.obey(&call, now) { 200 } else { 404 }, &[], b"", false),
         };
-        if let Some(Socket { role: Role::Manager(c), .. }) = self.socket(key) {
-            c.answer(&answer, false, now);
+        self.called.push((key, answer));
+    }
+
+    /// Answers the calls of this turn. Guards against: a yes to what the module has not heard yet, and figures from
+    /// before it.
+    pub(super) fn answer_calls(&mut self, now: Millis) {
+        for (key, answer) in std::mem::take(&mut self.called) {
+            let json = [("Content-Type", "application/json".to_string())];
+            let stats = |this: &Self| http::response(200, &json, this.stats().as_bytes(), false);
+            let answer = answer.unwrap_or_else(|| stats(self));
+            if let Some(Socket { role: Role::Manager(c), .. }) = self.socket(key) {
+                c.answer(&answer, false, now);
+            }
+            self.drive(key);
         }
     }
 
     /// Does what a call asks; says whether what it names is there.
-    fn obey(&mut self, call: &Call, now: Millis) -> bool {
+    pub(super) fn obey(&mut self, call: &Call, now: Millis) -> bool {
         match call {
             Call::Drain => {
                 self.drain.call(now);
--- /dev/null
+++ b/node/src/event_loop/upgrade.rs
@@ -0,0 +1,297 @@
+//! The other process of an upgrade: found, heard and told; and the clients' address that passes from one to the other.
+
+use super::{shares, EventLoop, DOOR, LISTENER, PEER};
+use crate::clock::{Clock, Millis};
+use crate::handover::{Link, Message, State};
+use crate::management::Call;
+use crate::news::News;
+use mio::net::{UnixListener, UnixStream};
+use mio::Interest;
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::collections::HashSet;
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut, Read, Write};
+use std::mem::MaybeUninit;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::AsFd;
+use std::os::unix::net::UnixStream as StdUnixStream;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// The process that runs hands over within this time, or the new one starts without it.
+const PATIENCE: Millis = 1_000.0;
+/// Connections that may wait for the clients' listener: what the system gives at most.
+const BACKLOG: i32 = 4_096;
+
+/// The process at the other end.
+struct Peer {
+    stream: UnixStream,
+    link: Link,
+}
+
+/// How far an upgrade is, if there is one.
+pub(super) struct Upgrade {
+    /// Where a new process finds this one.
+    path: Option<PathBuf>,
+    door: Option<UnixListener>,
+    peer: Option<Peer>,
+    /// Ids under way at the other process.
+    pub(super) foreign: HashSet<String>,
+    /// Whether this process takes new connections.
+    pub(super) takes_clients: bool,
+}
+
+/// What a process starts with.
+pub(super) struct Start {
+    /// The clients' listener, this process's own or the one that it was handed.
+    pub(super) listener: TcpListener,
+    /// What the process before has told, and the way to it.
+    pub(super) before: Option<(State, StdUnixStream, Link)>,
+}
+
+/// Gets the clients' listener from the process that holds it, or from the system.
+pub(super) fn start(listen: SocketAddr, path: Option<&Path>, clock: &Clock) -> io::Result<Start> {
+    if let Some(stream) = path.and_then(|path| StdUnixStream::connect(path).ok()) {
+        match inherit(&stream, clock) {
+            Ok((listener, state, link)) => {
+                return Ok(Start { listener, before: Some((state, stream, link)) })
+            }
+            Err(e) => log::warn!("upgrade: the process that runs hands nothing over: {e}"),
+        }
+    }
+    let socket = Socket::new(Domain::for_address(listen), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    // Guards against: a new version that cannot start since the one that runs does not hear it.
+    socket.set_reuse_port(true)?;
+    socket.bind(&listen.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(Start { listener: socket.into(), before: None })
+}
+
+/// Waits for the listening socket and what the process before has to tell.
+fn inherit(stream: &StdUnixStream, clock: &Clock) -> io::Result<(TcpListener, State, Link)> {
+    let (mut link, mut listener, until) = (Link::default(), None, clock.now() + PATIENCE);
+    let mut bytes = vec![0; 64 * 1024];
+    loop {
+        let left = Duration::from_secs_f64((until - clock.now()).max(1.0) / 1e3);
+        stream.set_read_timeout(Some(left))?;
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut passed = RecvAncillaryBuffer::new(&mut space);
+        let read =
+            recvmsg(stream, &mut [IoSliceMut::new(&mut bytes)], &mut passed, RecvFlags::CMSG_CLOEXEC)?.bytes;
+        for message in passed.drain() {
+            if let RecvAncillaryMessage::ScmRights(descriptors) = message {
+                listener = descriptors.map(TcpListener::from).last().or(listener);
+            }
+        }
+        // The state comes first, and alone.
+        let state = link.receive(&bytes[..read]).into_iter().next();
+        match (state, listener.take()) {
+            (Some(Message::State(state)), Some(listener)) => return Ok((listener, state, link)),
+            (Some(other), _) => return Err(io::Error::other(format!("it began with {other:?}"))),
+            (None, _) if read == 0 || clock.now() >= until => return Err(ErrorKind::TimedOut.into()),
+            (None, earlier) => listener = earlier,
+        }
+    }
+}
+
+impl Upgrade {
+    /// Nobody else is there.
+    pub(super) fn new(path: Option<PathBuf>) -> Upgrade {
+        Upgrade { path, door: None, peer: None, foreign: HashSet::new(), takes_clients: false }
+    }
+}
+
+impl EventLoop {
+    /// Goes on where the process before is, if there is one: it serves until this one has discovery's list.
+    pub(super) fn follow(&mut self, start: Option<(State, StdUnixStream, Link)>) -> io::Result<()> {
+        let Some((state, stream, link)) = start else { return self.take_clients() };
+        stream.set_nonblocking(true)?;
+        log::info!("an older process serves until this one is ready");
+        for name in state.taken_out {
+            self.heard(Message::Called(Call::TakeOut(name)));
+        }
+        if state.drained {
+            self.drain.inherit(self.clock.now());
+        }
+        self.upgrade.foreign.extend(state.open);
+        self.meet(UnixStream::from_std(stream), link)?;
+        // The list known may be old, and a call for changes may wait for long.
+        self.group.moved();
+        self.dispatch.list_moved();
+        Ok(())
+    }
+
+    /// Keeps the way to another process.
+    fn meet(&mut self, mut stream: UnixStream, link: Link) -> io::Result<()> {
+        self.poll.registry().register(&mut stream, PEER, Interest::READABLE | Interest::WRITABLE)?;
+        self.upgrade.peer = Some(Peer { stream, link });
+        self.share();
+        Ok(())
+    }
+
+    /// Another process asks to follow this one.
+    pub(super) fn knocked(&mut self) {
+        while let Some(Ok((stream, _))) = self.upgrade.door.as_ref().map(UnixListener::accept) {
+            if self.upgrade.peer.is_some() {
+                log::warn!("upgrade: a third process is left alone while there are two");
+                continue;
+            }
+            log::info!("a newer process is there; this one serves until that is ready");
+            if let Err(e) = self.hand_over(stream) {
+                log::warn!("upgrade: nothing could be handed over: {e}");
+                self.peer_gone();
+            }
+        }
+    }
+
+    fn hand_over(&mut self, stream: UnixStream) -> io::Result<()> {
+        let mut link = Link::default();
+        link.tell(&Message::State(State {
+            taken_out: self.group.names_out().map(String::from).collect(),
+            drained: self.drain.is_called(),
+            open: self.dispatch.open_ids().map(String::from).collect(),
+        }));
+        let descriptors = [self.listener.as_fd()];
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut passed = SendAncillaryBuffer::new(&mut space);
+        passed.push(SendAncillaryMessage::ScmRights(&descriptors));
+        let sent = sendmsg(&stream, &[IoSlice::new(link.outbox.unsent())], &mut passed, SendFlags::NOSIGNAL)?;
+        link.outbox.sent(sent);
+        self.meet(stream, link)
+    }
+
+    /// Takes new connections from now on, and lets newer processes find this one.
+    fn take_clients(&mut self) -> io::Result<()> {
+        self.poll.registry().register(&mut self.listener, LISTENER, Interest::READABLE)?;
+        self.upgrade.takes_clients = true;
+        self.accept_at = self.clock.now();
+        let Some(path) = &self.upgrade.path else { return Ok(()) };
+        let _ = std::fs::remove_file(path); // one that an earlier process has left; mostly there is none
+        let door = UnixListener::bind(path).and_then(|mut door| {
+            self.poll.registry().register(&mut door, DOOR, Interest::READABLE)?;
+            Ok(door)
+        });
+        match door {
+            Ok(door) => self.upgrade.door = Some(door),
+            Err(e) => log::warn!("upgrade: no newer process can find this one at {}: {e}", path.display()),
+        }
+        Ok(())
+    }
+
+    /// The list has come from discovery: nothing is missing to take clients any more.
+    pub(super) fn ready_for_clients(&mut self) {
+        if self.upgrade.takes_clients || self.drain.has_successor() {
+            return;
+        }
+        match self.take_clients() {
+            Ok(()) => {
+                log::info!("ready: this process takes clients now");
+                self.tell(|| Message::Ready);
+            }
+            Err(e) => log::error!("the clients' address cannot be polled: {e}"),
+        }
+    }
+
+    /// The other process takes clients. The listening socket stays open here, should that process die.
+    fn give_up_clients(&mut self) {
+        if !std::mem::take(&mut self.upgrade.takes_clients) {
+            return;
+        }
+        log::info!("the newer process takes clients now; this one finishes what it has");
+        let _ = self.poll.registry().deregister(&mut self.listener); // else it only wakes up in vain
+        self.accept_at = 0.0;
+        self.upgrade.door = None;
+        self.drain.succeeded(true);
+    }
+
+    /// Tells the other process, if there is one.
+    pub(super) fn tell(&mut self, message: impl FnOnce() -> Message) {
+        if let Some(peer) = &mut self.upgrade.peer {
+            peer.link.tell(&message());
+            self.flush_peer();
+        }
+    }
+
+    fn flush_peer(&mut self) {
+        let Some(peer) = &mut self.upgrade.peer else { return };
+        while !peer.link.outbox.unsent().is_empty() {
+            match peer.stream.write(peer.link.outbox.unsent()) {
+                Ok(n) => peer.link.outbox.sent(n),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock && !peer.link.is_stuck() => return,
+                Err(_) => return self.peer_gone(),
+            }
+        }
+    }
+
+    /// Something has come from the other process, or it reads again.
+    pub(super) fn peer_ready(&mut self) {
+        self.flush_peer();
+        let mut scratch = std::mem::take(&mut self.scratch);
+        while let Some(peer) = &mut self.upgrade.peer {
+            match peer.stream.read(&mut scratch) {
+                Ok(n) if n > 0 => {
+                    let messages = peer.link.receive(&scratch[..n]);
+                    let stuck = peer.link.is_stuck();
+                    messages.into_iter().for_each(|message| self.heard(message));
+                    if stuck {
+                        self.peer_gone();
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                _ => self.peer_gone(),
+            }
+        }
+        self.scratch = scratch;
+    }
+
+    fn heard(&mut self, message: Message) {
+        let now = self.clock.now();
+        match message {
+            Message::Ready => self.give_up_clients(),
+            Message::Called(Call::TakeOut(name)) => {
+                // The other process may know of it by a list that has not come here yet.
+                let target = self.group.hold(&name);
+                self.dispatch.taken_out(target);
+            }
+            Message::Called(call) => drop(self.obey(&call, now)),
+            Message::News(body) => {
+                if let Some(news) = News::read(body.as_bytes(), &self.site) {
+                    self.dispatch.news(news, now);
+                }
+            }
+            Message::Open(id) => drop(self.upgrade.foreign.insert(id)),
+            Message::Over(id) => drop(self.upgrade.foreign.remove(&id)),
+            Message::State(_) => log::warn!("upgrade: a state that nobody asked for"),
+        }
+    }
+
+    /// The other process has ended or cannot be spoken to: this one goes on alone, with all there is.
+    fn peer_gone(&mut self) {
+        let Some(mut peer) = self.upgrade.peer.take() else { return };
+        let _ = self.poll.registry().deregister(&mut peer.stream); // it closes with the end of this
+        self.upgrade.foreign.clear();
+        self.drain.succeeded(false);
+        self.share();
+        log::info!("the other process has gone; this one is alone");
+        if !self.upgrade.takes_clients {
+            if let Err(e) = self.take_clients() {
+                log::error!("the clients' address cannot be polled: {e}");
+            }
+        }
+    }
+
+    /// Two processes have one scheduler's descriptors: half of them each.
+    pub(super) fn share(&mut self) {
+        let parts = 1 + usize::from(self.upgrade.peer.is_some());
+        (self.most_listeners, self.most_forwards) =
+            shares(self.descriptors / parts, self.management.is_some());
+        while self.listeners > self.most_listeners && self.free_listener() {}
+        while self.forwards > self.most_forwards && self.pool.any().map(|idle| self.close(idle)).is_some() {}
+    }
+}
--- a/node/src/event_loop/watch.rs
+++ b/node/src/event_loop/watch.rs
@@ -44,6 +44,9 @@
             }
         };
         let Applied { kind, members, stale } = self.group.apply(list);
+        if kind == ListKind::Full {
+            self.ready_for_clients();
+        }
         for target in stale {
             self.pool.take_all(target).into_iter().for_each(|key| self.close(key));
         }
--- /dev/null
+++ b/node/src/handover.rs
@@ -0,0 +1,127 @@
+//! An upgrade, without its sockets: what the process that runs and the one that is to follow it tell each other. Both
+//! are one scheduler to everybody else.
+
+use crate::http::Outbox;
+use crate::management::Call;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// What one process tells the other: a line of JSON each.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Message {
+    /// From the old one, first, along with the listening socket.
+    State(State),
+    /// From the new one: it takes clients from now on.
+    Ready,
+    /// An operator has called the other.
+    Called(Call),
+    /// News that has come to the other, of a job that is not its own.
+    News(String),
+    /// A job under this id is under way at the other.
+    Open(String),
+    /// And is over.
+    Over(String),
+}
+
+/// What the new process must know to go on as the same scheduler.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    /// Targets that operators have taken out.
+    pub taken_out: Vec<String>,
+    /// Whether an operator sends clients away.
+    pub drained: bool,
+    /// The ids of jobs under way.
+    pub open: Vec<String>,
+}
+
+/// So much may wait for the other process. Guards against: one that has stopped reading and fills the memory.
+const MOST_WAITING: usize = 4 * 1024 * 1024;
+
+/// The way to the other process: what has come in part, and what waits to be sent.
+#[derive(Default)]
+pub struct Link {
+    inbox: Vec<u8>,
+    /// Lines on their way.
+    pub outbox: Outbox,
+}
+
+impl Link {
+    /// Sends a message.
+    pub fn tell(&mut self, message: &Message) {
+        match serde_json::to_vec(message) {
+            Ok(line) => self.outbox.put(&[&line, &b"\n"[..]].concat()),
+            Err(e) => log::error!("{message:?} has no form: {e}"),
+        }
+    }
+
+    /// Takes in what was read and gives the messages that are whole. One that cannot be read is left out: the other
+    /// process may be of another version.
+    pub fn receive(&mut self, bytes: &[u8]) -> Vec<Message> {
+        self.inbox.extend_from_slice(bytes);
+        let Some(end) = self.inbox.iter().rposition(|b| *b == b'\n') else { return Vec::new() };
+        let rest = self.inbox.split_off(end + 1);
+        let lines = std::mem::replace(&mut self.inbox, rest);
+        let read = |line: &[u8]| match serde_json::from_slice(line) {
+            Ok(message) => Some(message),
+            Err(e) => {
+                log::warn!("upgrade: a message cannot be read: {e}");
+                None
+            }
+        };
+        lines.split(|b| *b == b'\n').filter(|line| !line.is_empty()).filter_map(read).collect()
+    }
+
+    /// Whether the other process has stopped reading, or never ends a line.
+    pub fn is_stuck(&self) -> bool {
+        self.outbox.unsent().len().max(self.inbox.len()) > MOST_WAITING
+    }
+}
+
+/// Where the process that serves an address is found by the one that is to follow it; nowhere for an address that
+/// the system chooses, which no second process could name.
+pub fn meeting_place(listen: SocketAddr) -> Option<PathBuf> {
+    let name = format!("postusher-{}-{}.sock", listen.ip(), listen.port()).replace(':', "_");
+    (listen.port() != 0).then(|| std::env::temp_dir().join(name))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn messages_come_through_in_pieces_of_any_size_and_unreadable_ones_are_left_out() {
+        let told = [
+            Message::State(State { taken_out: vec!["s-1".into()], drained: true, open: vec!["9b\n".into()] }),
+            Message::Ready,
+            Message::Called(Call::TakeOut("s-2".into())),
+            Message::News("{\"id\":\"9b\"}\n".into()),
+            Message::Open("t1".into()),
+            Message::Over("t1".into()),
+        ];
+        let mut from = Link::default();
+        from.outbox.put(b"{\"of a later version\":1}\n");
+        told.iter().for_each(|message| from.tell(message));
+        for size in 1..50 {
+            let mut to = Link::default();
+            let heard: Vec<_> = from.outbox.unsent().chunks(size).flat_map(|part| to.receive(part)).collect();
+            assert_eq!(heard, told);
+        }
+    }
+
+    #[test]
+    fn a_peer_that_does_not_read_or_never_ends_its_line_is_stuck() {
+        let (mut silent, mut endless) = (Link::default(), Link::default());
+        assert!(!silent.is_stuck() && endless.receive(b"{").is_empty());
+        (0..3).for_each(|_| silent.tell(&Message::News("x".repeat(MOST_WAITING / 2))));
+        endless.receive(&vec![b'x'; MOST_WAITING]);
+        assert!(silent.is_stuck() && endless.is_stuck());
+    }
+
+    #[test]
+    fn an_address_has_one_meeting_place_and_one_left_to_the_system_has_none() {
+        let at = |port| meeting_place(([127, 0, 0, 1], port).into());
+        assert!(at(8080) == at(8080) && at(8080) != at(8081) && at(0).is_none());
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -10,6 +10,7 @@
 mod event_loop;
 mod figures;
 mod forward;
+mod handover;
 mod http;
 mod intake;
 mod invariant;
--- a/node/src/management.rs
+++ b/node/src/management.rs
@@ -1,9 +1,11 @@
 //! The operators' address: what a call there asks for, read from HTTP to a [`Call`] that is neutral to it.
 
 use crate::http::RequestLine;
+use serde::{Deserialize, Serialize};
 
 /// What operators' staff may ask of a running scheduler. Each may come twice and means the same then.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Call {
     /// Whether this process takes clients.
     Healthcheck,
--- a/node/src/model.rs
+++ b/node/src/model.rs
@@ -372,7 +372,7 @@
                 let key = at.expect("withdrawn though not taken or over");
                 self.attempts.entry(key).and_modify(|a| a.out = false);
             }
-            Deed::Probe(_) | Deed::Watch | Deed::Disconnect(_) => {}
+            Deed::Probe(_) | Deed::Over(_) | Deed::Watch | Deed::Disconnect(_) => {}
         }
     }
 }
--- a/node/src/target_group.rs
+++ b/node/src/target_group.rs
@@ -186,6 +186,18 @@
         Some(id)
     }
 
+    /// Another process of this scheduler has taken a target out, be it listed here or not.
+    pub fn hold(&mut self, name: &str) -> WorkerId {
+        let id = self.id(name);
+        self.taken_out.insert(id, name.into());
+        id
+    }
+
+    /// The names of the targets that are out.
+    pub fn names_out(&self) -> impl Iterator<Item = &str> + '_ {
+        self.taken_out.values().map(|name| &**name)
+    }
+
     /// An operator takes a target back, likewise; one call undoes any number of those out.
     pub fn take_back(&mut self, name: &str) -> Option<WorkerId> {
         let id = self.id(name);
@@ -296,6 +308,10 @@
         assert_eq!(group.apply(list(true, json!([server("s-1", "up")]))).members[0].worker, id);
         assert_eq!(group.take_back("s-1"), Some(id));
         assert_eq!(group.take_back("s-1"), Some(id)); // a second call back changes nothing
+                                                      // The other process of an upgrade may have read of a target first.
+        let held = group.hold("s-2");
+        assert_eq!(group.names_out().collect::<Vec<_>>(), ["s-2"]);
+        assert_eq!(group.apply(list(false, json!([server("s-2", "up")]))).members[0].worker, held);
     }
 
     #[test]
--- a/node/tests/serve.rs
+++ b/node/tests/serve.rs
@@ -16,6 +16,7 @@
     mgmt: SocketAddr,
     target: TcpListener,
     discovery: TcpListener,
+    config: PathBuf,
 }
 
 /// A configuration file with so many targets, all at one address.
@@ -50,8 +51,46 @@
         let target = TcpListener::bind("127.0.0.1:0").unwrap();
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let config = config(name, discovery.local_addr().unwrap(), target.local_addr().unwrap(), targets);
+        Scheduler::launch(config, target, discovery)
+    }
+
+    /// One at an address that a newer one can be given, too.
+    fn upgradable(name: &str) -> Scheduler {
+        let (target, discovery) =
+            (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
+        let config = config(name, discovery.local_addr().unwrap(), target.local_addr().unwrap(), 1);
+        let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let text = std::fs::read_to_string(&config).unwrap();
+        std::fs::write(&config, text.replacen("127.0.0.1:0", &free.to_string(), 1)).unwrap();
+        Scheduler::launch(config, target, discovery)
+    }
+
+    /// A newer process beside this one.
+    fn newer(&self) -> Scheduler {
+        let (target, discovery) = (self.target.try_clone().unwrap(), self.discovery.try_clone().unwrap());
+        Scheduler::launch(self.config.clone(), target, discovery)
+    }
+
+    /// The newer process beside this one, with its list; also the two watches on it.
+    fn upgraded(&self) -> (Scheduler, [Peer; 2]) {
+        let old = Peer::new(self.discovery.accept().unwrap().0);
+        let mut new = self.newer();
+        assert!(!new.says_yes("GET /healthcheck") && self.says_yes("GET /healthcheck"));
+        let mut list = Peer::new(self.discovery.accept().unwrap().0);
+        assert_eq!(list.message().0, "GET /discovery/hosts HTTP/1.1");
+        let text = std::fs::read_to_string(&self.config).unwrap();
+        let known =
+            text.split("\"known\": ").nth(1).and_then(|t| t.split(",\n        \"settings").next()).unwrap();
+        list.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{known}", known.len()));
+        new.logs("ready: this process takes clients now");
+        assert!(new.says_yes("GET /healthcheck"));
+        (new, [old, list])
+    }
+
+    fn launch(config: PathBuf, target: TcpListener, discovery: TcpListener) -> Scheduler {
         let mut command = Command::new(env!("CARGO_BIN_EXE_postusher"));
-        let command = command.arg("serve").arg("--config").arg(config).env_remove("RUST_LOG");
+        let command = command.arg("serve").arg("--config").arg(&config).env_remove("RUST_LOG");
+        let command = command.env("TMPDIR", env!("CARGO_TARGET_TMPDIR"));
         let mut process = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(process.stderr.take().unwrap());
         let mut address = |before: &str| {
@@ -61,7 +100,7 @@
             addr.parse().unwrap()
         };
         let (addr, mgmt) = (address("listening on "), address("operators call at "));
-        Scheduler { addr, mgmt, process, log, target, discovery }
+        Scheduler { addr, mgmt, process, log, target, discovery, config }
     }
 
     fn connect(&self) -> Peer {
@@ -442,6 +481,68 @@
     assert!(s.process.wait().unwrap().success());
 }
 
+const TAKEN: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+
+#[test]
+fn an_upgrade_loses_no_job_and_nothing_that_operators_said() {
+    let mut old = Scheduler::upgradable("upgraded");
+    let mut client = old.connect();
+    client.job("t1");
+    let mut target = Peer::new(old.target.accept().unwrap().0);
+    target.message();
+    target.send(TAKEN);
+    assert!(old.says_yes("PUT /workers/s-1/maint"));
+    let (mut new, _watches) = old.upgraded();
+    old.logs("the newer process takes clients now");
+    let excluded =
+        |s: &Scheduler, n: u8| s.call("GET /stats").1.contains(&format!(r#""workers_excluded":{n}"#));
+    assert!(excluded(&new, 1));
+    // New connections come to the new one: it knows what is under way at the old one, and passes its news on.
+    let mut twice = new.connect();
+    twice.job("t1");
+    assert_eq!(twice.message().0, "HTTP/1.1 409 Conflict");
+    new.news(r#"{"id":"t1","from":"s-1","state":"done","result":"r"}"#);
+    let (line, head, _) = client.message();
+    assert!(line == "HTTP/1.1 200 OK" && head.contains("Connection: close\r\n") && client.ends());
+    // What is said to one is said to both.
+    assert!(new.says_yes("PUT /workers/s-1/ready"));
+    while excluded(&old, 1) {}
+    drop(client);
+    old.signal("-TERM");
+    assert!(old.process.wait().unwrap().success());
+    new.logs("this one is alone");
+    let mut client = new.connect();
+    client.job("t2");
+    assert!(Peer::new(new.target.accept().unwrap().0).message().1.contains("X-Trace-Id: t2\r\n"));
+    assert!(new.says_yes("GET /healthcheck"));
+}
+
+#[test]
+fn whichever_process_of_an_upgrade_dies_the_other_goes_on() {
+    let mut old = Scheduler::upgradable("upgrade-broken");
+    let is_up = |s: &Scheduler| {
+        let mut up = s.connect();
+        up.send("GET /up HTTP/1.1\r\n\r\n");
+        up.message().0 == "HTTP/1.1 200 OK"
+    };
+    let (mut new, watches) = old.upgraded();
+    assert!(is_up(&old));
+    new.process.kill().unwrap();
+    old.logs("this one is alone");
+    assert!(is_up(&old) && old.says_yes("GET /healthcheck"));
+    drop((new, watches));
+    // The old one dies before the next has had a list: that one takes clients all the same.
+    let mut new = old.newer();
+    old.process.kill().unwrap();
+    new.logs("this one is alone");
+    assert!(is_up(&new) && new.says_yes("GET /healthcheck"));
+    // What an ended process has left at the meeting place stops no start.
+    new.process.kill().unwrap();
+    new.process.wait().unwrap();
+    let last = new.newer();
+    assert!(is_up(&last));
+}
+
 #[test]
 fn a_bad_configuration_is_one_line_and_a_failure() {
     let run = |args: &[&str]| Command::new(env!("CARGO_BIN_EXE_postusher")).args(args).output().unwrap();
