Upgrade: on the way out clients and their jobs move to the new process

Now `move_clients` in event_loop/upgrade.rs hands each connection over at SIGTERM, `Dispatch::moving` and `adopt` the job on it, and `Event::Adopted` tells the module. The lines at fault: is_over in event_loop.rs, which waited for jobs that SIGKILL outran.

--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -7,11 +7,14 @@
 use crate::event_loop::Key;
 use crate::figures::Figures;
 use crate::forward::End;
+use crate::handover::{MovedJob, MovedLeg};
 use crate::intake::Job;
 use crate::invariant::{holds, Invariant};
 use crate::news::{report_from_text, News, State};
 use crate::target_group::TargetGroup;
-use postusher::{Action, Dispatcher, Ending, Event, JobId, ListKind, Member, Micros, Outcome, WorkerId};
+use postusher::{
+    Action, Begun, Dispatcher, Ending, Event, JobId, ListKind, Member, Micros, Outcome, WorkerId,
+};
 use postusher_settings::{micros, Site};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -51,6 +54,14 @@
     legs: Vec<Leg>,
 }
 
+impl Request {
+    /// What the module is told of it.
+    fn told(&self, id: JobId) -> postusher::Job {
+        let (job, expires) = (&self.job, micros(self.expires));
+        postusher::Job { id, class: job.class, expires, hint: job.hint, slots: job.slots, key: job.key }
+    }
+}
+
 struct Leg {
     target: WorkerId,
     name: Rc<str>,
@@ -58,6 +69,8 @@
     /// The target has said that it has the job.
     taken: bool,
     out: bool,
+    /// It may have run.
+    ran: bool,
 }
 
 enum Due {
@@ -134,29 +147,72 @@
         if self.by_trace.contains_key(job.trace.as_str()) {
             return Err(job.trace);
         }
+        let id = self.enter(client, job, now);
+        let event = self.requests.get(&id).map(|r| Event::Arrived(r.told(id)));
+        self.events.extend(event);
+        self.figures.taken += 1;
+        Ok(id)
+    }
+
+    /// Keeps a job under a number of its own.
+    fn enter(&mut self, client: Key, job: Job, now: Millis) -> JobId {
         let (trace, expires) = (Rc::<str>::from(job.trace.as_str()), (now + job.wait).min(self.ends));
         self.last_id = self.last_id.wrapping_add(1);
         while self.requests.contains_key(&JobId(self.last_id)) {
             self.last_id = self.last_id.wrapping_add(1);
         }
         let id = JobId(self.last_id);
-        self.events.push(Event::Arrived(postusher::Job {
-            id,
-            class: job.class,
-            expires: micros(expires),
-            hint: job.hint,
-            slots: job.slots,
-            key: job.key,
-        }));
         self.timers.set(expires + OVERDUE, Due::Deadline(id));
         self.by_trace.insert(trace.clone(), id);
         let legs = Vec::new();
         self.requests
             .insert(id, Request { client, trace, job, expires, answered: false, rejected: false, legs });
-        self.figures.taken += 1;
+        id
+    }
+
+    /// A job comes over from another process of this scheduler with the attempts made there; the client's id if there
+    /// is one of it already.
+    pub fn adopt(
+        &mut self,
+        client: Key,
+        job: Job,
+        legs: Vec<(WorkerId, MovedLeg)>,
+        now: Millis,
+    ) -> Result<JobId, String> {
+        if self.has(&job.trace) {
+            return Err(job.trace);
+        }
+        let id = self.enter(client, job, now);
+        let Some(r) = self.requests.get_mut(&id) else { return Ok(id) };
+        let mut begun = Vec::new();
+        for (n, (target, leg)) in legs.into_iter().enumerate() {
+            let (name, sent, out, ran) = (leg.target.into(), now - leg.age, leg.out, leg.ran);
+            begun.push(Begun { worker: target, age: micros(leg.age), out, ran });
+            r.legs.push(Leg { target, name, sent, taken: true, out, ran });
+            self.timers.set(r.expires, Due::Attempt(id, n as u8));
+        }
+        self.events.push(Event::Adopted { job: r.told(id), begun });
         Ok(id)
     }
 
+    /// A job in the form in which another process can go on with it; `None` where an attempt is still on its way to
+    /// its target, or the job has its answer.
+    pub fn moving(&self, id: JobId, now: Millis) -> Option<MovedJob> {
+        let r = self.requests.get(&id).filter(|r| !r.answered && r.legs.iter().all(|l| !l.out || l.taken))?;
+        let leg =
+            |l: &Leg| MovedLeg { target: l.name.to_string(), age: now - l.sent, out: l.out, ran: l.ran };
+        let legs = r.legs.iter().map(leg).collect();
+        Some(MovedJob { request: r.job.payload.request(r.expires - now), last: false, legs })
+    }
+
+    /// Another process has a job now. The module here may go on with it in vain: nothing is done for a job that is
+    /// not here.
+    pub fn release(&mut self, id: JobId) {
+        if let Some(r) = self.requests.remove(&id) {
+            self.by_trace.remove(&r.trace);
+        }
+    }
+
     /// A client has gone away.
     pub fn client_gone(&mut self, id: JobId) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
@@ -359,7 +415,7 @@
         let listed = group.get(target);
         let name = listed.map_or_else(|| "".into(), |t| t.name.clone());
         let leg = r.legs.len() as u8;
-        r.legs.push(Leg { target, name, sent: now, taken: false, out: true });
+        r.legs.push(Leg { target, name, sent: now, taken: false, out: true, ran: true });
         let until = if within == 0 { r.expires } else { r.expires.min(now + within as f64 / 1e3) };
         let twice = r.legs.iter().filter(|l| l.out && l.target == target).count() > 1;
         // What came before in the same batch may have ended the request.
@@ -408,6 +464,7 @@
         let Some(l) = legs.get_mut(usize::from(leg)) else { return };
         if holds(Invariant::SettledOnce, l.out) {
             l.out = false;
+            l.ran = self.site.settings.may_have_run(ending);
             let latency = micros(now - l.sent);
             if ending != Ending::Ok {
                 let (name, ms) = (&l.name, now - l.sent);
--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -238,6 +238,7 @@
             self.gather(&events);
             self.decide_and_act();
             self.answer_calls(self.clock.now());
+            self.move_clients();
         }
         self.log_counters("at the end");
         Ok(())
@@ -248,6 +249,7 @@
         let left = self.drain.is_leaving() && self.drain.has_successor() && self.listeners == 0;
         (left || self.drain.may_end(self.clock.now()))
             && self.dispatch.unanswered() == 0
+            && self.upgrade.is_flushed()
             && self.sockets.iter().all(|(_, s)| !s.owes())
     }
 
@@ -361,7 +363,9 @@
             log::info!("SIGTERM: {} requests to finish", self.dispatch.unanswered());
         }
         self.drain.begin(self.clock.now());
-        self.drain.ends_at().into_iter().for_each(|at| self.dispatch.ends_at(at));
+        if !self.drain.has_successor() {
+            self.drain.ends_at().into_iter().for_each(|at| self.dispatch.ends_at(at));
+        }
     }
 
     /// Takes over what the configuration file says now, as far as that can be done without a restart; nothing
--- a/node/src/event_loop/upgrade.rs
+++ b/node/src/event_loop/upgrade.rs
@@ -1,22 +1,25 @@
 //! The other process of an upgrade: found, heard and told; and the clients' address that passes from one to the other.
 
-use super::{shares, EventLoop, DOOR, LISTENER, PEER};
+use super::{shares, EventLoop, Key, Role, Socket, DOOR, LISTENER, PEER};
 use crate::clock::{Clock, Millis};
-use crate::handover::{Link, Message, State};
+use crate::handover::{Link, Message, Moved, MovedJob, State};
+use crate::http::{self, Decoder};
+use crate::intake::{self, Ask};
+use crate::listener;
 use crate::management::Call;
 use crate::news::News;
-use mio::net::{UnixListener, UnixStream};
+use mio::net::{TcpStream, UnixListener, UnixStream};
 use mio::Interest;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
 };
-use socket2::{Domain, Protocol, Socket, Type};
-use std::collections::HashSet;
-use std::io::{self, ErrorKind, IoSlice, IoSliceMut, Read, Write};
+use socket2::{Domain, Protocol, Type};
+use std::collections::{HashSet, VecDeque};
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut, Write};
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener};
-use std::os::fd::AsFd;
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 use std::os::unix::net::UnixStream as StdUnixStream;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -30,6 +33,30 @@
 struct Peer {
     stream: UnixStream,
     link: Link,
+    /// Clients' connections that have come over, one for each such message to come.
+    passed: VecDeque<OwnedFd>,
+}
+
+/// Sends bytes and a descriptor along with them; at least one byte goes, or it fails.
+fn send_along(stream: &UnixStream, bytes: &[u8], descriptor: BorrowedFd) -> io::Result<usize> {
+    let descriptors = [descriptor];
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut along = SendAncillaryBuffer::new(&mut space);
+    along.push(SendAncillaryMessage::ScmRights(&descriptors));
+    Ok(sendmsg(stream, &[IoSlice::new(bytes)], &mut along, SendFlags::NOSIGNAL)?)
+}
+
+/// Reads bytes and takes the descriptors that come along.
+fn receive_along(stream: impl AsFd, bytes: &mut [u8], passed: &mut VecDeque<OwnedFd>) -> io::Result<usize> {
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut along = RecvAncillaryBuffer::new(&mut space);
+    let read = recvmsg(stream, &mut [IoSliceMut::new(bytes)], &mut along, RecvFlags::CMSG_CLOEXEC)?.bytes;
+    for message in along.drain() {
+        if let RecvAncillaryMessage::ScmRights(descriptors) = message {
+            passed.extend(descriptors);
+        }
+    }
+    Ok(read)
 }
 
 /// How far an upgrade is, if there is one.
@@ -40,6 +67,8 @@
     peer: Option<Peer>,
     /// Ids under way at the other process.
     pub(super) foreign: HashSet<String>,
+    /// Ids of jobs that have moved to the other process.
+    moved: HashSet<String>,
     /// Whether this process takes new connections.
     pub(super) takes_clients: bool,
 }
@@ -62,7 +91,7 @@
             Err(e) => log::warn!("upgrade: the process that runs hands nothing over: {e}"),
         }
     }
-    let socket = Socket::new(Domain::for_address(listen), Type::STREAM, Some(Protocol::TCP))?;
+    let socket = socket2::Socket::new(Domain::for_address(listen), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     // Guards against: a new version that cannot start since the one that runs does not hear it.
     socket.set_reuse_port(true)?;
@@ -73,35 +102,33 @@
 
 /// Waits for the listening socket and what the process before has to tell.
 fn inherit(stream: &StdUnixStream, clock: &Clock) -> io::Result<(TcpListener, State, Link)> {
-    let (mut link, mut listener, until) = (Link::default(), None, clock.now() + PATIENCE);
+    let (mut link, mut passed, until) = (Link::default(), VecDeque::new(), clock.now() + PATIENCE);
     let mut bytes = vec![0; 64 * 1024];
     loop {
         let left = Duration::from_secs_f64((until - clock.now()).max(1.0) / 1e3);
         stream.set_read_timeout(Some(left))?;
-        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
-        let mut passed = RecvAncillaryBuffer::new(&mut space);
-        let read =
-            recvmsg(stream, &mut [IoSliceMut::new(&mut bytes)], &mut passed, RecvFlags::CMSG_CLOEXEC)?.bytes;
-        for message in passed.drain() {
-            if let RecvAncillaryMessage::ScmRights(descriptors) = message {
-                listener = descriptors.map(TcpListener::from).last().or(listener);
-            }
-        }
+        let read = receive_along(stream, &mut bytes, &mut passed)?;
         // The state comes first, and alone.
         let state = link.receive(&bytes[..read]).into_iter().next();
-        match (state, listener.take()) {
-            (Some(Message::State(state)), Some(listener)) => return Ok((listener, state, link)),
+        match (state, passed.pop_front()) {
+            (Some(Message::State(state)), Some(listener)) => return Ok((listener.into(), state, link)),
             (Some(other), _) => return Err(io::Error::other(format!("it began with {other:?}"))),
             (None, _) if read == 0 || clock.now() >= until => return Err(ErrorKind::TimedOut.into()),
-            (None, earlier) => listener = earlier,
+            (None, earlier) => passed.extend(earlier),
         }
     }
 }
 
 impl Upgrade {
+    /// Whether the other process, if there is one, has been sent all that it is told.
+    pub(super) fn is_flushed(&self) -> bool {
+        self.peer.as_ref().is_none_or(|peer| peer.link.outbox.unsent().is_empty())
+    }
+
     /// Nobody else is there.
     pub(super) fn new(path: Option<PathBuf>) -> Upgrade {
-        Upgrade { path, door: None, peer: None, foreign: HashSet::new(), takes_clients: false }
+        let (foreign, moved) = (HashSet::new(), HashSet::new());
+        Upgrade { path, door: None, peer: None, foreign, moved, takes_clients: false }
     }
 }
 
@@ -128,7 +155,7 @@
     /// Keeps the way to another process.
     fn meet(&mut self, mut stream: UnixStream, link: Link) -> io::Result<()> {
         self.poll.registry().register(&mut stream, PEER, Interest::READABLE | Interest::WRITABLE)?;
-        self.upgrade.peer = Some(Peer { stream, link });
+        self.upgrade.peer = Some(Peer { stream, link, passed: VecDeque::new() });
         self.share();
         Ok(())
     }
@@ -155,12 +182,7 @@
             drained: self.drain.is_called(),
             open: self.dispatch.open_ids().map(String::from).collect(),
         }));
-        let descriptors = [self.listener.as_fd()];
-        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
-        let mut passed = SendAncillaryBuffer::new(&mut space);
-        passed.push(SendAncillaryMessage::ScmRights(&descriptors));
-        let sent = sendmsg(&stream, &[IoSlice::new(link.outbox.unsent())], &mut passed, SendFlags::NOSIGNAL)?;
-        link.outbox.sent(sent);
+        link.outbox.sent(send_along(&stream, link.outbox.unsent(), self.listener.as_fd())?);
         self.meet(stream, link)
     }
 
@@ -233,7 +255,7 @@
         self.flush_peer();
         let mut scratch = std::mem::take(&mut self.scratch);
         while let Some(peer) = &mut self.upgrade.peer {
-            match peer.stream.read(&mut scratch) {
+            match receive_along(&peer.stream, &mut scratch, &mut peer.passed) {
                 Ok(n) if n > 0 => {
                     let messages = peer.link.receive(&scratch[..n]);
                     let stuck = peer.link.is_stuck();
@@ -260,23 +282,106 @@
                 self.dispatch.taken_out(target);
             }
             Message::Called(call) => drop(self.obey(&call, now)),
-            Message::News(body) => {
-                if let Some(news) = News::read(body.as_bytes(), &self.site) {
-                    self.dispatch.news(news, now);
-                }
-            }
+            Message::News(body) => match News::read(body.as_bytes(), &self.site) {
+                // It has crossed with the job's move.
+                Some(news) if self.upgrade.moved.contains(&news.trace) => self.tell(|| Message::News(body)),
+                Some(news) => self.dispatch.news(news, now),
+                None => {}
+            },
+            Message::Moved(moved) => self.adopt(moved, now),
             Message::Open(id) => drop(self.upgrade.foreign.insert(id)),
             Message::Over(id) => drop(self.upgrade.foreign.remove(&id)),
             Message::State(_) => log::warn!("upgrade: a state that nobody asked for"),
         }
     }
 
+    /// On the way out, clients go to the process that follows with their connections and the jobs that they wait for.
+    /// Guards against: long jobs that end with this process, and requests that cross with the end of a connection.
+    pub(super) fn move_clients(&mut self) {
+        if !self.drain.is_leaving() || !self.drain.has_successor() {
+            return;
+        }
+        let now = self.clock.now();
+        let may = |s: &Socket| matches!(&s.role, Role::Listener(c, _) if c.may_move() && !c.brings_news);
+        let keys: Vec<Key> = self.sockets.iter().filter(|(_, s)| may(s)).map(|(_, s)| s.key).collect();
+        for key in keys {
+            // With nothing waiting, a message and its descriptor go out whole or not at all, but for its last part.
+            let free = self.upgrade.peer.as_ref().is_some_and(|p| p.link.outbox.unsent().is_empty());
+            if !free || !self.move_client(key, now) {
+                return;
+            }
+        }
+    }
+
+    /// Says whether another may follow.
+    fn move_client(&mut self, key: Key, now: Millis) -> bool {
+        let Some(Socket { role: Role::Listener(c, id), .. }) = self.socket(key) else { return true };
+        let (age, has_served, last, id) = (c.age(now), c.has_served(), c.is_last(), *id);
+        let trace = id.and_then(|id| self.dispatch.trace(id));
+        let job = match id.map(|id| self.dispatch.moving(id, now)) {
+            Some(None) => return true, // not yet
+            Some(Some(job)) => Some(MovedJob { last, ..job }),
+            None => None,
+        };
+        let (Some(socket), Some(peer)) = (self.sockets.get(key.slot), &mut self.upgrade.peer) else {
+            return false;
+        };
+        peer.link.tell(&Message::Moved(Moved { age, has_served, job }));
+        match send_along(&peer.stream, peer.link.outbox.unsent(), socket.stream.as_fd()) {
+            Ok(sent) => peer.link.outbox.sent(sent),
+            Err(_) => {
+                peer.link.outbox.clear(); // the client stays here for now
+                return false;
+            }
+        }
+        id.into_iter().for_each(|id| self.dispatch.release(id));
+        self.upgrade.moved.extend(trace.map(|trace| trace.to_string()));
+        self.close(key); // here; the connection lives on
+        true
+    }
+
+    /// A client comes over from the process before.
+    fn adopt(&mut self, moved: Moved, now: Millis) {
+        let passed = self.upgrade.peer.as_mut().and_then(|peer| peer.passed.pop_front());
+        let stream = passed.map(std::net::TcpStream::from).filter(|s| s.set_nonblocking(true).is_ok());
+        let Some(stream) = stream else { return log::warn!("upgrade: a client came without its connection") };
+        let (job, last) = (moved.job, |job: &MovedJob| job.last);
+        let c = listener::Connection::moved(now, moved.age, moved.has_served, job.as_ref().map(last));
+        let until = c.deadline();
+        let key = match self.add(TcpStream::from_std(stream), Role::Listener(c, None), false, until) {
+            Ok(key) => key,
+            Err(e) => return log::warn!("a client that came over cannot be polled: {e}"),
+        };
+        let Some(moved) = job else { return self.drive(key) };
+        let mut decoder = Decoder::new();
+        decoder.feed(&moved.request);
+        let ask = decoder.next().ok().flatten().map(|message| intake::read(message, &self.site));
+        let Some(Ask::Job(job)) = ask else {
+            log::warn!("upgrade: a job that came over cannot be read");
+            self.reply(key, now, false, |keep| http::response(502, &[], b"", keep));
+            return self.drive(key);
+        };
+        self.upgrade.foreign.remove(&job.trace);
+        let legs = moved.legs.into_iter().map(|leg| (self.group.id(&leg.target), leg)).collect();
+        match self.dispatch.adopt(key, *job, legs, now) {
+            Ok(id) => {
+                if let Some(Socket { role: Role::Listener(_, job), .. }) = self.socket(key) {
+                    *job = Some(id);
+                }
+            }
+            Err(_) => self.reply(key, now, false, |keep| http::response(409, &[], b"", keep)),
+        }
+        self.drive(key);
+    }
+
     /// The other process has ended or cannot be spoken to: this one goes on alone, with all there is.
     fn peer_gone(&mut self) {
         let Some(mut peer) = self.upgrade.peer.take() else { return };
         let _ = self.poll.registry().deregister(&mut peer.stream); // it closes with the end of this
         self.upgrade.foreign.clear();
+        self.upgrade.moved.clear();
         self.drain.succeeded(false);
+        self.drain.ends_at().into_iter().for_each(|at| self.dispatch.ends_at(at));
         self.share();
         log::info!("the other process has gone; this one is alone");
         if !self.upgrade.takes_clients {
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -1,6 +1,7 @@
 //! An upgrade, without its sockets: what the process that runs and the one that is to follow it tell each other. Both
 //! are one scheduler to everybody else.
 
+use crate::clock::Millis;
 use crate::http::Outbox;
 use crate::management::Call;
 use serde::{Deserialize, Serialize};
@@ -23,6 +24,8 @@
     Open(String),
     /// And is over.
     Over(String),
+    /// A client's connection comes over, and with it the job that it waits for.
+    Moved(Moved),
 }
 
 /// What the new process must know to go on as the same scheduler.
@@ -36,6 +39,41 @@
     pub open: Vec<String>,
 }
 
+/// What there is to know of a connection that comes over.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Moved {
+    /// For how long it has been open.
+    pub age: Millis,
+    /// It has had an answer before.
+    pub has_served: bool,
+    /// What its client waits for.
+    pub job: Option<MovedJob>,
+}
+
+/// A job that comes over.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MovedJob {
+    /// The request, as a target would get it now.
+    pub request: Vec<u8>,
+    /// Its client closes after it.
+    pub last: bool,
+    /// Its attempts, in order.
+    pub legs: Vec<MovedLeg>,
+}
+
+/// An attempt of a job that comes over.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MovedLeg {
+    /// The target's name.
+    pub target: String,
+    /// For how long it has been out, or was sent before.
+    pub age: Millis,
+    /// Its target has it.
+    pub out: bool,
+    /// It may have run.
+    pub ran: bool,
+}
+
 /// So much may wait for the other process. Guards against: one that has stopped reading and fills the memory.
 const MOST_WAITING: usize = 4 * 1024 * 1024;
 
@@ -99,6 +137,15 @@
             Message::News("{\"id\":\"9b\"}\n".into()),
             Message::Open("t1".into()),
             Message::Over("t1".into()),
+            Message::Moved(Moved {
+                age: 1.5,
+                has_served: true,
+                job: Some(MovedJob {
+                    request: vec![0, 255, b'\n'],
+                    last: false,
+                    legs: vec![MovedLeg { target: "s-1".into(), age: 7.0, out: true, ran: true }],
+                }),
+            }),
         ];
         let mut from = Link::default();
         from.outbox.put(b"{\"of a later version\":1}\n");
--- a/node/src/listener.rs
+++ b/node/src/listener.rs
@@ -63,6 +63,34 @@
         }
     }
 
+    /// A connection that another process has accepted so long ago; `job`: it waits for a job's answer, and whether
+    /// its client closes after that.
+    pub fn moved(now: Millis, age: Millis, has_served: bool, job: Option<bool>) -> Self {
+        let state = if job.is_some() { State::Busy } else { State::Open };
+        Connection {
+            opened: now - age,
+            has_served,
+            state,
+            last: job.unwrap_or(false),
+            ..Connection::new(now)
+        }
+    }
+
+    /// Whether another process can go on with it as it is: nothing has come or goes out in part.
+    pub fn may_move(&self) -> bool {
+        self.state != State::Last && self.decoder.is_empty() && self.outbox.unsent().is_empty()
+    }
+
+    /// For how long it has been open.
+    pub fn age(&self, now: Millis) -> Millis {
+        now - self.opened
+    }
+
+    /// Whether the client of the request at hand closes after it.
+    pub fn is_last(&self) -> bool {
+        self.last
+    }
+
     /// Takes in what was read.
     pub fn receive(&mut self, bytes: &[u8], now: Millis) {
         if self.state != State::Last {
@@ -180,6 +208,22 @@
         assert!(c.may_close(7.0));
     }
 
+    #[test]
+    fn a_connection_that_moves_goes_on_as_it_was() {
+        let mut c = Connection::new(5.0);
+        c.receive(&UP[..5], 6.0);
+        assert!(!c.may_move()); // half a request is here, and nowhere else
+        c.receive(&UP[5..], 7.0);
+        assert!(c.next().is_some() && c.may_move());
+        let mut moved = Connection::moved(100.0, c.age(100.0), c.has_served(), Some(c.is_last()));
+        assert!(moved.state() == State::Busy && moved.next().is_none() && moved.keeps(true));
+        moved.answer(b"ab", true, 101.0);
+        assert!(!moved.may_move() && moved.state() == State::Open);
+        assert!(!Connection::moved(100.0, 1.0, true, Some(true)).keeps(true));
+        // One that has said nothing yet has no more time for it than before.
+        assert_eq!(Connection::moved(100.0, 95.0, false, None).deadline(), 5.0 + WHOLE);
+    }
+
     #[test]
     fn nobody_holds_a_connection_by_saying_nothing_or_half_of_it_or_by_reading_nothing() {
         let mut c = Connection::new(5.0);
--- a/node/src/target_group.rs
+++ b/node/src/target_group.rs
@@ -164,7 +164,7 @@
 
     /// A name's number: by hash, so that all schedulers find the same target for a key; the next where that
     /// is taken by another name.
-    fn id(&self, name: &str) -> WorkerId {
+    pub fn id(&self, name: &str) -> WorkerId {
         let mut id = WorkerId(fnv(name.as_bytes()) as u32);
         while self.name(id).is_some_and(|n| **n != *name) {
             id.0 = id.0.wrapping_add(1);
--- a/node/tests/serve.rs
+++ b/node/tests/serve.rs
@@ -517,6 +517,32 @@
     assert!(new.says_yes("GET /healthcheck"));
 }
 
+#[test]
+fn on_the_way_out_clients_go_to_the_newer_process_with_their_connections_and_jobs() {
+    let mut old = Scheduler::upgradable("moved");
+    let (mut idle, mut client) = (old.connect(), old.connect());
+    idle.send("GET /up HTTP/1.1\r\n\r\n");
+    idle.message();
+    client.job("t1");
+    let mut target = Peer::new(old.target.accept().unwrap().0);
+    target.message();
+    target.send(TAKEN);
+    let (new, _watches) = old.upgraded();
+    old.logs("the newer process takes clients now");
+    old.signal("-TERM");
+    // It ends although the job goes on, and ends neither connection with it.
+    assert!(old.process.wait().unwrap().success());
+    assert!(new.call("GET /stats").1.contains(r#""in_flight":1"#));
+    new.news(r#"{"id":"t1","from":"s-1","state":"done","result":"r"}"#);
+    let (line, head, body) = client.message();
+    assert_eq!((line.as_str(), body.as_str()), ("HTTP/1.1 200 OK", "r"));
+    assert!(!head.contains("Connection: close\r\n"));
+    for mut kept in [client, idle] {
+        kept.send("GET /up HTTP/1.1\r\n\r\n");
+        assert_eq!(kept.message().0, "HTTP/1.1 200 OK");
+    }
+}
+
 #[test]
 fn whichever_process_of_an_upgrade_dies_the_other_goes_on() {
     let mut old = Scheduler::upgradable("upgrade-broken");
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -191,6 +191,19 @@
     pub key: u64,
 }
 
+/// An attempt that another process has made.
+#[derive(Clone, Debug)]
+pub struct Begun {
+    /// Where it went.
+    pub worker: WorkerId,
+    /// How long ago.
+    pub age: Micros,
+    /// It has not ended.
+    pub out: bool,
+    /// It may have run.
+    pub ran: bool,
+}
+
 /// How an attempt or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -246,6 +259,8 @@
     TakenBack(WorkerId),
     /// A client's job; the dispatcher owes one final answer.
     Arrived(Job),
+    /// A job that another process of this dispatcher has taken comes over to this one, with its attempts.
+    Adopted { job: Job, begun: Vec<Begun> },
     /// The job has started on the worker.
     Started { job: JobId, leg: u8 },
     /// This part of the job is done.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -68,6 +68,7 @@
             Event::TakenOut(id) => self.taken(id, true),
             Event::TakenBack(id) => self.taken(id, false),
             Event::Arrived(job) => self.arrived(job, out),
+            Event::Adopted { job, begun } => self.adopted(job, &begun, out),
             Event::Started { job, leg } | Event::Progress { job, leg, .. } => self.note(job, leg, out),
             Event::Streaming { job, .. } => drop(self.requests.entry(job).and_modify(|r| r.streaming = true)),
             Event::Settled(outcome) => self.settled(outcome, out),
@@ -148,8 +149,8 @@
         self.sync(id);
     }
 
-    /// An operator takes a worker out or back. One that is back has mostly been restarted, and the list tells of
-    /// that late: guards against old failures that keep it idle, and against more than a cold one can take.
+    /// An operator takes a worker out or back. One that is back has mostly been restarted, and the list tells
+    /// so late: guards against old failures that keep it idle, and against more than a cold one can take.
     fn taken(&mut self, id: WorkerId, away: bool) {
         let changes = if away { self.taken_out.insert(id) } else { self.taken_out.remove(&id) };
         let member = self.workers.get(&id).filter(|_| changes && !away).map(|w| w.member.clone());
@@ -386,9 +387,43 @@
     }
 
     fn arrived(&mut self, job: Job, out: &mut Vec<Action>) {
-        if self.requests.contains_key(&job.id) {
+        let id = job.id;
+        if self.enter(job, out) && !self.line_up(id, out) {
+            let near = self.place(id, out);
+            self.refresh(&near, out); // the next job of a bound class looks where this one does
+        }
+    }
+
+    /// A job comes with attempts: those out hold tokens here as they did there, and rule 2 knows of all.
+    fn adopted(&mut self, job: Job, begun: &[Begun], out: &mut Vec<Action>) {
+        let id = job.id;
+        if !self.enter(job, out) {
             return;
         }
+        for (b, leg) in begun.iter().zip(0..) {
+            let path = self.workers.get(&b.worker).map_or(0, |w| self.path(w));
+            let ended = if b.ran { LegState::MayHaveRun } else { LegState::NeverRan };
+            let (sent, state) = (self.now.saturating_sub(b.age), if b.out { LegState::Out } else { ended });
+            let Some(r) = self.requests.get_mut(&id) else { return };
+            r.legs.push(Leg { sent, state, ..Leg::new(b.worker, self.now, false, path) });
+            if let Some(w) = self.workers.get_mut(&b.worker).filter(|_| b.out) {
+                w.out.push((id, leg));
+                w.held += r.k;
+                self.sync(b.worker);
+            }
+        }
+        let waits = self.line_up(id, out);
+        self.requests.entry(id).and_modify(|r| r.waits &= r.legs.is_empty());
+        if !waits && begun.iter().all(|b| !b.out) {
+            self.place(id, out);
+        }
+    }
+
+    /// Takes a job in; says if it is new.
+    fn enter(&mut self, job: Job, out: &mut Vec<Action>) -> bool {
+        if self.requests.contains_key(&job.id) {
+            return false;
+        }
         let (id, after) = (job.id, job.expires.saturating_sub(self.now));
         let none = || Arc::new(Class::new(Effect::Once, 1)); // what settings lack is handled with most care
         let class = self.classes.get(usize::from(job.class)).cloned().unwrap_or_else(none);
@@ -401,10 +436,7 @@
         self.probes.earn(if self.asks { PROBE_RATIO } else { 0.0 }, 3.0 * PROBE_RATIO);
         self.requests.insert(id, r);
         out.push(Action::Wake { after, cookie: Cookie::Guard(id).into() });
-        if !self.line_up(id, out) {
-            let near = self.place(id, out);
-            self.refresh(&near, out); // the next job of a bound class looks where this one does
-        }
+        true
     }
 
     /// Rule on order: one line for each key, in order of arrival. Says whether a job has to wait for its turn
