Upgrade: what the old process has learned of classes and workers goes over to the new one

Now `Dispatcher::memory` and `Event::Learned`, sent at `Ready`; handover.rs gives it a form with targets by name. Kept, since a new process that forgets its sick workers is a fault by itself (test what_was_learned_goes_on_in_the_next_process).

--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -13,7 +13,7 @@
 use crate::news::{report_from_text, News, State};
 use crate::target_group::TargetGroup;
 use postusher::{
-    Action, Begun, Dispatcher, Ending, Event, JobId, ListKind, Member, Micros, Outcome, WorkerId,
+    Action, Begun, Dispatcher, Ending, Event, JobId, ListKind, Member, Memory, Micros, Outcome, WorkerId,
 };
 use postusher_settings::{micros, Site};
 use std::collections::HashMap;
@@ -195,6 +195,16 @@
         Ok(id)
     }
 
+    /// What the module has learned.
+    pub fn memory(&self) -> Memory {
+        self.module.memory()
+    }
+
+    /// What another process's module has learned.
+    pub fn learned(&mut self, memory: Memory) {
+        self.events.push(Event::Learned(memory));
+    }
+
     /// A job in the form in which another process can go on with it; `None` where an attempt is still on its way to
     /// its target, or the job has its answer.
     pub fn moving(&self, id: JobId, now: Millis) -> Option<MovedJob> {
--- a/node/src/event_loop/upgrade.rs
+++ b/node/src/event_loop/upgrade.rs
@@ -2,7 +2,7 @@
 
 use super::{shares, EventLoop, Key, Role, Socket, DOOR, LISTENER, PEER};
 use crate::clock::{Clock, Millis};
-use crate::handover::{Link, Message, Moved, MovedJob, State};
+use crate::handover::{Learned, Link, Message, Moved, MovedJob, State};
 use crate::http::{self, Decoder};
 use crate::intake::{self, Ask};
 use crate::listener;
@@ -228,6 +228,9 @@
         self.accept_at = 0.0;
         self.upgrade.door = None;
         self.drain.succeeded(true);
+        let name = |id| self.group.get(id).map(|t| t.name.to_string());
+        let learned = Learned::from(self.dispatch.memory(), name);
+        self.tell(|| Message::Learned(learned));
     }
 
     /// Tells the other process, if there is one.
@@ -289,6 +292,10 @@
                 None => {}
             },
             Message::Moved(moved) => self.adopt(moved, now),
+            Message::Learned(learned) => {
+                let memory = learned.memory(|name| self.group.id(name));
+                self.dispatch.learned(memory);
+            }
             Message::Open(id) => drop(self.upgrade.foreign.insert(id)),
             Message::Over(id) => drop(self.upgrade.foreign.remove(&id)),
             Message::State(_) => log::warn!("upgrade: a state that nobody asked for"),
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -4,6 +4,7 @@
 use crate::clock::Millis;
 use crate::http::Outbox;
 use crate::management::Call;
+use postusher::{Memory, WorkerId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -24,6 +25,8 @@
     Open(String),
     /// And is over.
     Over(String),
+    /// From the old one, once the new one takes clients: what it has learned.
+    Learned(Learned),
     /// A client's connection comes over, and with it the job that it waits for.
     Moved(Moved),
 }
@@ -39,6 +42,50 @@
     pub open: Vec<String>,
 }
 
+/// The module's memory, with targets by name.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Learned {
+    fleet: Vec<Option<f64>>,
+    lay: f64,
+    recent: Vec<f64>,
+    classes: Vec<(Option<f64>, Option<f64>, f64)>,
+    kinds: Vec<(u16, Option<f64>)>,
+    targets: Vec<(String, Health)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Health {
+    slots: i64,
+    others: f64,
+    reported: Option<u64>,
+    strain: f64,
+    avoided: u64,
+    strikes: u32,
+}
+
+impl Learned {
+    /// The module's memory as it is told; a target without a name is left out.
+    pub fn from(memory: Memory, name: impl Fn(WorkerId) -> Option<String>) -> Learned {
+        let Memory { fleet, lay, recent, classes, kinds, workers } = memory;
+        let target = |(id, h): (WorkerId, postusher::Health)| {
+            let postusher::Health { slots, others, reported, strain, avoided, strikes } = h;
+            Some((name(id)?, Health { slots, others, reported, strain, avoided, strikes }))
+        };
+        let targets = workers.into_iter().filter_map(target).collect();
+        Learned { fleet, lay, recent, classes, kinds, targets }
+    }
+
+    /// And as the other module takes it.
+    pub fn memory(self, id: impl Fn(&str) -> WorkerId) -> Memory {
+        let Learned { fleet, lay, recent, classes, kinds, targets } = self;
+        let worker = |(name, h): (String, Health)| {
+            let Health { slots, others, reported, strain, avoided, strikes } = h;
+            (id(&name), postusher::Health { slots, others, reported, strain, avoided, strikes })
+        };
+        Memory { fleet, lay, recent, classes, kinds, workers: targets.into_iter().map(worker).collect() }
+    }
+}
+
 /// What there is to know of a connection that comes over.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Moved {
@@ -157,6 +204,32 @@
         }
     }
 
+    #[test]
+    fn what_was_learned_comes_through_whole_with_targets_by_name() {
+        let health = postusher::Health {
+            slots: 5,
+            others: 0.5,
+            reported: Some(9),
+            strain: 1.5,
+            avoided: 7,
+            strikes: 2,
+        };
+        let memory = Memory {
+            fleet: vec![Some(1.5), None],
+            lay: 2.5,
+            recent: vec![0.5, -0.5],
+            classes: vec![(Some(0.1), None, 0.2)],
+            kinds: vec![(1, Some(0.3))],
+            workers: vec![(WorkerId(7), health), (WorkerId(8), health)],
+        };
+        let learned = Learned::from(memory.clone(), |id| (id.0 == 7).then(|| "s-7".to_string()));
+        let (mut from, mut to) = (Link::default(), Link::default());
+        from.tell(&Message::Learned(learned));
+        let Some(Message::Learned(heard)) = to.receive(from.outbox.unsent()).pop() else { panic!() };
+        let known = Memory { workers: vec![(WorkerId(7), health)], ..memory };
+        assert_eq!(heard.memory(|name| WorkerId(u32::from(name == "s-7") * 7)), known);
+    }
+
     #[test]
     fn a_peer_that_does_not_read_or_never_ends_its_line_is_stuck() {
         let (mut silent, mut endless) = (Link::default(), Link::default());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -191,6 +191,40 @@
     pub key: u64,
 }
 
+/// What a dispatcher has learned of the fleet, in figures that another process of it can take over.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Memory {
+    /// Usual figures of the fleet, in an order of the module's own.
+    pub fleet: Vec<Option<f64>>,
+    /// For how long jobs lie before they start.
+    pub lay: f64,
+    /// Strain of the latest outcomes.
+    pub recent: Vec<f64>,
+    /// Of each class: the logarithm and the mean of its running time, and the share that was turned away.
+    pub classes: Vec<(Option<f64>, Option<f64>, f64)>,
+    /// Of each machine kind that was seen: the logarithm of its running time over the usual.
+    pub kinds: Vec<(u16, Option<f64>)>,
+    /// Of each worker.
+    pub workers: Vec<(WorkerId, Health)>,
+}
+
+/// What a dispatcher has learned of a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Health {
+    /// Most free slots ever reported.
+    pub slots: i64,
+    /// Slots that others took at the latest report.
+    pub others: f64,
+    /// How long ago that came; `None`: never.
+    pub reported: Option<Micros>,
+    /// How much slower than expected it is, failures included.
+    pub strain: f64,
+    /// For how long it is still avoided; 0: it is not.
+    pub avoided: Micros,
+    /// How often it was, since it last served well.
+    pub strikes: u32,
+}
+
 /// An attempt that another process has made.
 #[derive(Clone, Debug)]
 pub struct Begun {
@@ -261,6 +295,8 @@
     Arrived(Job),
     /// A job that another process of this dispatcher has taken comes over to this one, with its attempts.
     Adopted { job: Job, begun: Vec<Begun> },
+    /// What another process of this dispatcher has learned comes over to this one.
+    Learned(Memory),
     /// The job has started on the worker.
     Started { job: JobId, leg: u8 },
     /// This part of the job is done.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -68,6 +68,10 @@
             Event::TakenOut(id) => self.taken(id, true),
             Event::TakenBack(id) => self.taken(id, false),
             Event::Arrived(job) => self.arrived(job, out),
+            Event::Learned(memory) => {
+                self.remember(&memory);
+                memory.workers.iter().for_each(|(id, _)| self.sync(*id));
+            }
             Event::Adopted { job, begun } => self.adopted(job, &begun, out),
             Event::Started { job, leg } | Event::Progress { job, leg, .. } => self.note(job, leg, out),
             Event::Streaming { job, .. } => drop(self.requests.entry(job).and_modify(|r| r.streaming = true)),
--- a/tests/adopted.rs
+++ b/tests/adopted.rs
@@ -50,3 +50,30 @@
     rig.settle(4, 0, Ending::Reset);
     assert!(rig.failed(4));
 }
+
+#[test]
+fn what_was_learned_goes_on_in_the_next_process() {
+    // Guards against: an upgrade after which jobs go to workers that were known to be sick.
+    let mut old = Rig::new(settings(), 6);
+    for id in 1..200 {
+        old.now += 20 * MS;
+        let Some(worker) = old.job(id, 0, 1) else { continue };
+        old.settle(id, 0, if worker == 2 { Ending::Error } else { Ending::Ok });
+    }
+    assert!(old.dispatcher.ejected(WorkerId(2)));
+    let memory = old.dispatcher.memory();
+    let mut new = Rig::new(settings(), 6);
+    new.now = old.now;
+    new.play(Event::Learned(memory.clone()));
+    assert!(new.dispatcher.ejected(WorkerId(2)) && new.dispatcher.tokens(WorkerId(2)).0 == 0);
+    assert_eq!(new.dispatcher.tokens(WorkerId(1)), old.dispatcher.tokens(WorkerId(1)));
+    assert_eq!(new.dispatcher.memory(), memory);
+    // It gets its trial as it would have got it there.
+    new.now += 60 * S;
+    new.play(Event::Timer(0));
+    assert!(!new.dispatcher.ejected(WorkerId(2)));
+    // Of a worker that no list has named nothing is kept.
+    let strange = Memory { workers: vec![(WorkerId(99), Health::default())], ..memory };
+    new.play(Event::Learned(strange));
+    assert_eq!(new.dispatcher.known_workers(), 6);
+}
