An upgrade that is called off by SIGTERM to the new process leaves clients where they are

It keeps out now (test an_upgrade_called_off_by_sigterm_leaves_clients_where_they_are, fails without the line). Upgrade tests have hosts of their own on loopback: a port found free on 127.0.0.1 may be some client's a moment later.

--- a/node/src/event_loop/upgrade.rs
+++ b/node/src/event_loop/upgrade.rs
@@ -206,7 +206,8 @@
 
     /// The list has come from discovery: nothing is missing to take clients any more.
     pub(super) fn ready_for_clients(&mut self) {
-        if self.upgrade.takes_clients || self.drain.has_successor() {
+        // Guards against: an upgrade that is called off, in which clients go to a process that sends them away.
+        if self.upgrade.takes_clients || self.drain.has_successor() || self.drain.is_leaving() {
             return;
         }
         match self.take_clients() {
--- a/node/tests/serve.rs
+++ b/node/tests/serve.rs
@@ -54,12 +54,12 @@
         Scheduler::launch(config, target, discovery)
     }
 
-    /// One at an address that a newer one can be given, too.
-    fn upgradable(name: &str) -> Scheduler {
+    /// One at an address that a newer one can be given, too; `host` is no other test's, nor that of any client.
+    fn upgradable(name: &str, host: u8) -> Scheduler {
         let (target, discovery) =
             (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
         let config = config(name, discovery.local_addr().unwrap(), target.local_addr().unwrap(), 1);
-        let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let free = TcpListener::bind(([127, 77, 0, host], 0)).unwrap().local_addr().unwrap();
         let text = std::fs::read_to_string(&config).unwrap();
         std::fs::write(&config, text.replacen("127.0.0.1:0", &free.to_string(), 1)).unwrap();
         Scheduler::launch(config, target, discovery)
@@ -485,7 +485,7 @@
 
 #[test]
 fn an_upgrade_loses_no_job_and_nothing_that_operators_said() {
-    let mut old = Scheduler::upgradable("upgraded");
+    let mut old = Scheduler::upgradable("upgraded", 1);
     let mut client = old.connect();
     client.job("t1");
     let mut target = Peer::new(old.target.accept().unwrap().0);
@@ -519,7 +519,7 @@
 
 #[test]
 fn on_the_way_out_clients_go_to_the_newer_process_with_their_connections_and_jobs() {
-    let mut old = Scheduler::upgradable("moved");
+    let mut old = Scheduler::upgradable("moved", 3);
     let (mut idle, mut client) = (old.connect(), old.connect());
     idle.send("GET /up HTTP/1.1\r\n\r\n");
     idle.message();
@@ -543,9 +543,30 @@
     }
 }
 
+#[test]
+fn an_upgrade_called_off_by_sigterm_leaves_clients_where_they_are() {
+    let mut old = Scheduler::upgradable("called-off", 4);
+    let _watch = old.discovery.accept().unwrap();
+    let mut new = old.newer();
+    let mut list = Peer::new(old.discovery.accept().unwrap().0);
+    list.message();
+    new.signal("-TERM");
+    new.logs("SIGTERM: 0 requests");
+    let known = r#"{"version":42,"full":true,"servers":[]}"#;
+    list.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{known}", known.len()));
+    assert!(new.process.wait().unwrap().success());
+    let mut line = String::new();
+    while !line.contains("this one is alone") {
+        assert!(!line.contains("the newer process takes clients"));
+        line.clear();
+        assert!(old.log.read_line(&mut line).unwrap() > 0);
+    }
+    assert!(old.says_yes("GET /healthcheck"));
+}
+
 #[test]
 fn whichever_process_of_an_upgrade_dies_the_other_goes_on() {
-    let mut old = Scheduler::upgradable("upgrade-broken");
+    let mut old = Scheduler::upgradable("upgrade-broken", 2);
     let is_up = |s: &Scheduler| {
         let mut up = s.connect();
         up.send("GET /up HTTP/1.1\r\n\r\n");
