--- a/node/tests/serve.rs
+++ b/node/tests/serve.rs
@@ -59,7 +59,8 @@
         let (target, discovery) =
             (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
         let config = config(name, discovery.local_addr().unwrap(), target.local_addr().unwrap(), 1);
-        let free = TcpListener::bind(([127, 77, 0, host], 0)).unwrap().local_addr().unwrap();
+        let free =
+            TcpListener::bind(SocketAddr::from(([127, 77, 0, host], 0))).unwrap().local_addr().unwrap();
         let text = std::fs::read_to_string(&config).unwrap();
         std::fs::write(&config, text.replacen("127.0.0.1:0", &free.to_string(), 1)).unwrap();
         Scheduler::launch(config, target, discovery)
