--- a/node/src/model.rs
+++ b/node/src/model.rs
@@ -28,7 +28,7 @@
     /// Whatever comes in whatever pieces: requests are handed on whole, in order, one at a time, and what
     /// goes out is their answers in the same order and nothing after the last.
     #[test]
-    fn a_listener_keeps_its_turns(steps in prop::collection::vec((0u8..4, 1usize..90, any::<bool>()), 1..120)) {
+    fn a_listener_keeps_its_turns(steps in prop::collection::vec((0u8..5, 1usize..90, any::<bool>()), 1..120)) {
         let one = |n: usize| format!("POST /render/{n} HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc");
         let all: String = (0..200).map(one).collect();
         let (mut c, mut fed, mut taken, mut out) = (listener::Connection::new(0.0), 0, 0, Vec::new());
@@ -56,6 +56,11 @@
                         side = if keep { Side::Open } else { Side::Last };
                     }
                 }
+                // Another process goes on with it.
+                3 if c.may_move() => {
+                    let job = (c.state() == Side::Busy).then(|| c.is_last());
+                    c = listener::Connection::moved(3.0, c.age(3.0), c.has_served(), job);
+                }
                 _ => {
                     let n = n.min(c.outbox.unsent().len());
                     out.extend_from_slice(&c.outbox.unsent()[..n]);
@@ -156,7 +161,7 @@
     /// its client left; forwards only to targets of the list; an attempt is given up in the way that its
     /// target's word allows; and nothing is left behind.
     #[test]
-    fn every_request_gets_its_one_answer(steps in prop::collection::vec((0u8..12, any::<u8>(), 0u16..700), 1..160)) {
+    fn every_request_gets_its_one_answer(steps in prop::collection::vec((0u8..13, any::<u8>(), 0u16..700), 1..160)) {
         let mut day = Day::new();
         for (what, which, wait) in steps {
             day.step(what, which, f64::from(wait));
@@ -284,6 +289,7 @@
                 let applied = self.group.apply(list(count, state));
                 self.dispatch.members(applied.kind, applied.members);
             }
+            (12, _) => self.upgrade(),
             _ => {}
         }
         if !which.is_multiple_of(5) {
@@ -291,6 +297,31 @@
         }
     }
 
+    /// Another process goes on with all that is under way, if nothing is on its way to a target.
+    fn upgrade(&mut self) {
+        self.decide();
+        let open: Vec<_> =
+            self.ids.iter().filter(|(_, n)| !self.jobs[n].over).map(|(id, n)| (*id, *n)).collect();
+        let moving = |(id, n): (JobId, u64)| Some((id, n, self.dispatch.moving(id, self.now)?));
+        let Some(moved) = open.into_iter().map(moving).collect::<Option<Vec<_>>>() else { return };
+        let mut new = Dispatch::new(Rc::new(config().site), 9, self.now);
+        new.members(ListKind::Cached, self.group.apply(list(4, "up")).members);
+        new.learned(self.dispatch.memory());
+        let before = std::mem::take(&mut self.attempts);
+        self.ids.clear();
+        self.ended = None;
+        for (old, n, job) in moved {
+            let legs = job.legs.into_iter().map(|leg| (self.group.id(&leg.target), leg)).collect();
+            let request = job_of(std::str::from_utf8(&job.request).unwrap()).unwrap();
+            let id = new.adopt(self.jobs[&n].client, request, legs, self.now).unwrap();
+            self.ids.insert(id, n);
+            let of = before.iter().filter(|((id, _), _)| *id == old);
+            self.attempts.extend(of.map(|((_, leg), attempt)| ((id, *leg), attempt.clone())));
+        }
+        self.dispatch = new;
+        self.decide();
+    }
+
     fn wait(&mut self, time: Millis) {
         self.now += time;
         self.dispatch.due(self.now);
