A drain called at one process of an upgrade does not hide that the other is ready

By reading: a call to drain that reached the old process was obeyed by the new one as if made there, and its healthcheck said no from then on, so that whoever waits for its yes would call the upgrade off (`heard` in event_loop/upgrade.rs). It is taken over like a drain from before now; a call made at the process itself still counts for more.

--- a/node/src/drain.rs
+++ b/node/src/drain.rs
@@ -27,7 +27,7 @@
     lasts: Millis,
     since: Option<Millis>,
     called: Option<Millis>,
-    /// The call came to the process before.
+    /// The call came to the other process of an upgrade.
     inherited: bool,
     /// A newer process takes clients in the place of this one.
     successor: bool,
@@ -56,10 +56,11 @@
         self.inherited = false;
     }
 
-    /// An operator has sent clients away from the process before.
+    /// An operator has sent clients away from the other process of an upgrade. What was said here counts for more.
     pub fn inherit(&mut self, now: Millis) {
-        self.call(now);
-        self.inherited = true;
+        if self.called.is_none() {
+            (self.called, self.inherited) = (Some(now), true);
+        }
     }
 
     /// A newer process takes clients in the place of this one, or does so no more.
@@ -189,6 +190,7 @@
         drain.inherit(0.0);
         assert!(drain.is_on() && drain.is_called() && drain.is_healthy());
         drain.call(10.0); // now it was told itself
+        drain.inherit(20.0);
         assert!(!drain.is_healthy() && drain.refuses(2_000.0));
     }
 }
--- a/node/src/event_loop/upgrade.rs
+++ b/node/src/event_loop/upgrade.rs
@@ -285,6 +285,8 @@
                 let target = self.group.hold(&name);
                 self.dispatch.taken_out(target);
             }
+            // Guards against: a call to the old process by which the new one never gets its yes.
+            Message::Called(Call::Drain) => self.drain.inherit(now),
             Message::Called(call) => drop(self.obey(&call, now)),
             Message::News(body) => match News::read(body.as_bytes(), &self.site) {
                 // It has crossed with the job's move.
