--- a/tests/adopted.rs
+++ b/tests/adopted.rs
@@ -55,12 +55,7 @@
 fn what_was_learned_goes_on_in_the_next_process() {
     // Guards against: an upgrade after which jobs go to workers that were known to be sick.
     let mut old = Rig::new(settings(), 6);
-    for id in 1..200 {
-        old.now += 20 * MS;
-        let Some(worker) = old.job(id, 0, 1) else { continue };
-        old.settle(id, 0, if worker == 2 { Ending::Error } else { Ending::Ok });
-    }
-    assert!(old.dispatcher.ejected(WorkerId(2)));
+    old.sicken(2);
     let memory = old.dispatcher.memory();
     let mut new = Rig::new(settings(), 6);
     new.now = old.now;
--- a/tests/by_hand.rs
+++ b/tests/by_hand.rs
@@ -74,12 +74,7 @@
 #[test]
 fn a_worker_taken_back_has_its_failures_forgotten_and_counts_as_cold() {
     let mut rig = Rig::new(lukewarm(), 6);
-    for id in 1..200 {
-        rig.now += 20 * MS;
-        let Some(worker) = rig.job(id, 0, 1) else { continue };
-        rig.settle(id, 0, if worker == 2 { Ending::Error } else { Ending::Ok });
-    }
-    assert!(rig.dispatcher.ejected(WorkerId(2)));
+    rig.sicken(2);
     let warm = rig.dispatcher.tokens(WorkerId(1)).0;
     out(&mut rig, 2);
     back(&mut rig, 2);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -89,6 +89,16 @@
         self.play(Event::Settled(Outcome { job: JobId(id), leg, ending, latency, done, report: Vec::new() }));
     }
 
+    /// Plays jobs 1 to 199, of which one worker fails all that it gets, until it is ejected.
+    pub fn sicken(&mut self, sick: u32) {
+        for id in 1..200 {
+            self.now += 20 * MS;
+            let Some(worker) = self.job(id, 0, 1) else { continue };
+            self.settle(id, 0, if worker == sick { Ending::Error } else { Ending::Ok });
+        }
+        assert!(self.dispatcher.ejected(WorkerId(sick)));
+    }
+
     pub fn sent(&self, id: u32) -> Option<u32> {
         self.actions.iter().find_map(|a| match a {
             Action::Send { job, worker, .. } if job.0 == id => Some(worker.0),
