A client that moves in an upgrade is read with room, not taken for one that has ended

By reading: `peer_ready` in event_loop/upgrade.rs held the loop's one read buffer while it took clients over, and `adopt` drives each at once, so that its read had no room: 0 bytes, which is the connection's end.

--- a/node/src/event_loop/sockets.rs
+++ b/node/src/event_loop/sockets.rs
@@ -5,6 +5,7 @@
 use crate::clock::Millis;
 use crate::forward::Task;
 use crate::http;
+use crate::invariant::{holds, Invariant};
 use crate::listener::State;
 use mio::net::TcpStream;
 use mio::{Interest, Token};
@@ -170,6 +171,10 @@
     /// Reads what there is, up to a connection's part of a turn.
     fn read(&mut self, key: Key) -> ReadEnd {
         let mut scratch = std::mem::take(&mut self.scratch);
+        if !holds(Invariant::RoomToRead, !scratch.is_empty()) {
+            self.again.push(key);
+            return ReadEnd::Dry;
+        }
         let mut total = 0;
         let end = loop {
             let Some(socket) = self.sockets.get_mut(key.slot).filter(|s| s.key == key) else {
--- a/node/src/event_loop/upgrade.rs
+++ b/node/src/event_loop/upgrade.rs
@@ -257,11 +257,12 @@
     /// Something has come from the other process, or it reads again.
     pub(super) fn peer_ready(&mut self) {
         self.flush_peer();
-        let mut scratch = std::mem::take(&mut self.scratch);
+        // Not the loop's own: a client that comes over is read at once.
+        let mut bytes = vec![0; 64 * 1024];
         while let Some(peer) = &mut self.upgrade.peer {
-            match receive_along(&peer.stream, &mut scratch, &mut peer.passed) {
+            match receive_along(&peer.stream, &mut bytes, &mut peer.passed) {
                 Ok(n) if n > 0 => {
-                    let messages = peer.link.receive(&scratch[..n]);
+                    let messages = peer.link.receive(&bytes[..n]);
                     let stuck = peer.link.is_stuck();
                     messages.into_iter().for_each(|message| self.heard(message));
                     if stuck {
@@ -273,7 +274,6 @@
                 _ => self.peer_gone(),
             }
         }
-        self.scratch = scratch;
     }
 
     fn heard(&mut self, message: Message) {
--- a/node/src/invariant.rs
+++ b/node/src/invariant.rs
@@ -13,10 +13,17 @@
     SettledOnce,
     /// Work is handed only to a connection that stands idle.
     ConnectionIdle,
+    /// A read has room for what it finds; one within another has none, and takes that for the connection's end.
+    RoomToRead,
 }
 
-const ALL: [Invariant; 4] =
-    [Invariant::AnsweredInTime, Invariant::TargetListed, Invariant::SettledOnce, Invariant::ConnectionIdle];
+const ALL: [Invariant; 5] = [
+    Invariant::AnsweredInTime,
+    Invariant::TargetListed,
+    Invariant::SettledOnce,
+    Invariant::ConnectionIdle,
+    Invariant::RoomToRead,
+];
 
 static BROKEN: [AtomicU64; ALL.len()] = [const { AtomicU64::new(0) }; ALL.len()];
 
