Waiting room and setup file as crates of their own, not yet used by the program

The room (no I/O, no clock) holds jobs, knows the graph of names, paces their release by the fleet's free slots and ages by class; the setup crate reads XML with places, and says what to write instead. Nothing of the program uses them yet.

Run: 16 cases, two proptests (random graphs, weights, ends, upgrades; the bound on being passed), samples good and bad against the schema with an XSD validator.

--- /dev/null
+++ b/setup/tests/samples.rs
@@ -0,0 +1,78 @@
+//! Every sample is read by the reader and validated against the published schema, and the two agree; what the reader
+//! says of the bad ones is kept word for word.
+
+use postusher_setup::{load, read, Setup};
+use std::path::{Path, PathBuf};
+use uppsala::{Parser, XsdValidator};
+
+fn samples(kind: &str) -> Vec<PathBuf> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("samples").join(kind);
+    let mut all: Vec<PathBuf> = std::fs::read_dir(folder).unwrap().map(|e| e.unwrap().path()).collect();
+    all.sort();
+    assert!(all.len() >= 8);
+    all
+}
+
+/// What the schema has against a file.
+fn invalid(path: &Path) -> Option<String> {
+    let schema = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/postusher.xsd");
+    let schema = std::fs::read_to_string(schema).unwrap();
+    let validator = XsdValidator::from_schema(&Parser::new().parse(&schema).unwrap()).unwrap();
+    let text = std::fs::read_to_string(path).unwrap();
+    // A byte order mark is not part of the document.
+    let document = match Parser::new().parse(text.trim_start_matches('\u{feff}')) {
+        Ok(document) => document,
+        Err(e) => return Some(e.to_string()),
+    };
+    validator.validate(&document).first().map(|e| e.message.clone())
+}
+
+#[test]
+fn the_schema_and_the_reader_agree_on_every_sample() {
+    for path in samples("good") {
+        let text = std::fs::read_to_string(&path).unwrap();
+        assert_eq!(read(&text).err(), None, "{}", path.display());
+        assert_eq!(invalid(&path), None, "{}", path.display());
+    }
+    for path in samples("bad") {
+        let text = std::fs::read_to_string(&path).unwrap();
+        assert!(read(&text).is_err(), "{} is read", path.display());
+        assert!(invalid(&path).is_some(), "{} is valid", path.display());
+    }
+}
+
+#[test]
+fn each_mistake_is_told_with_its_place_and_what_to_write() {
+    let mut told = String::new();
+    for path in samples("bad") {
+        let name = path.file_name().unwrap().to_string_lossy().into_owned();
+        let text = std::fs::read_to_string(&path).unwrap();
+        for mistake in read(&text).unwrap_err() {
+            told += &format!("{name}:{mistake}\n");
+        }
+    }
+    insta::assert_snapshot!(told);
+}
+
+#[test]
+fn a_file_names_itself_in_each_line_and_what_is_no_text_says_so() {
+    let many = Path::new(env!("CARGO_MANIFEST_DIR")).join("samples/bad/many.xml");
+    let lines = load(&many).unwrap_err();
+    assert!(lines.lines().count() == 5 && lines.lines().all(|l| l.contains("many.xml:")), "{lines}");
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("latin1.xml");
+    std::fs::write(&path, b"<postusher>\n<!-- caf\xe9 --></postusher>").unwrap();
+    assert!(load(&path).unwrap_err().contains("latin1.xml:2:1: this is not UTF-8"));
+    assert!(load(Path::new("no/such.xml")).unwrap_err().contains("no/such.xml"));
+}
+
+#[test]
+fn what_is_not_said_has_its_default_and_what_is_said_counts() {
+    assert_eq!(read("<postusher/>").unwrap(), Setup::default());
+    let all = Path::new(env!("CARGO_MANIFEST_DIR")).join("samples/good/all.xml");
+    let w = load(&all).unwrap().waiting.unwrap();
+    assert_eq!((w.jobs, w.bytes, w.per_client, w.remembered), (20_000, 16 << 20, 10, 5_000));
+    assert_eq!((w.remember_for, w.grace, w.longest, w.ageing), (7_200_000.0, 750.0, 90_000.0, 1_500.0));
+    assert_eq!((w.reserve, w.weights["fund-batch"], w.weights.len()), (0.125, 4.0, 2));
+    let limits = w.limits(["debtor-check", "fund-batch"].into_iter());
+    assert_eq!((limits.weights, limits.reserve), (vec![1.0, 4.0], 0.125));
+}
