--- a/node/src/answer.rs
+++ b/node/src/answer.rs
@@ -24,6 +24,24 @@
     Rejected,
     /// No attempt has brought a result.
     Forward,
+    /// A job that it waits for did not end as it wishes; it was never sent.
+    Dependency,
+    /// It would wait for itself; it was never sent.
+    Circle,
+    /// It may not start before its client has given up; it was never sent.
+    TooLate,
+}
+
+impl Failure {
+    /// What a client is told besides the status, where the status alone could mean other things, too.
+    fn text(self) -> &'static str {
+        match self {
+            Failure::Expired | Failure::Rejected | Failure::Forward => "",
+            Failure::Dependency => "a job named in X-Start-After was not served, or is not known\n",
+            Failure::Circle => "the jobs named in X-Start-After wait for this one\n",
+            Failure::TooLate => "the start lies after X-Expires-In\n",
+        }
+    }
 }
 
 impl Answer {
@@ -51,8 +69,11 @@
                     Failure::Expired => 504,
                     Failure::Rejected => 400,
                     Failure::Forward => 502,
+                    Failure::Dependency => 424,
+                    Failure::Circle => 409,
+                    Failure::TooLate => 400,
                 };
-                http::response(status, &[], b"", keep_alive)
+                http::response(status, &[], why.text().as_bytes(), keep_alive)
             }
         }
     }
@@ -70,6 +91,8 @@
         assert!(!text(Answer::Refused { retry_after: 0.0 }).contains("Retry-After"));
         assert!(text(Answer::Failed(Failure::Expired)).starts_with("HTTP/1.1 504 "));
         assert!(text(Answer::Failed(Failure::Forward)).starts_with("HTTP/1.1 502 "));
+        assert!(text(Answer::Failed(Failure::Dependency)).starts_with("HTTP/1.1 424 Failed Dependency\r\n"));
+        assert!(text(Answer::Failed(Failure::Circle)).ends_with("wait for this one\n"));
         assert!(text(Answer::Served(b"ab".to_vec()))
             .ends_with("Content-Length: 2\r\nConnection: close\r\n\r\nab"));
     }
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::target_group::List;
 use postusher_settings::Site;
+
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -24,6 +25,36 @@
     pub known: List,
     /// The settings, with the names that messages use.
     pub site: Site,
+    /// What this scheduler can do beyond that.
+    pub setup: Setup,
+}
+
+/// The setup file, if there is one.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Setup(pub postusher_setup::Setup);
+
+impl Setup {
+    /// Reads the file, if one is named, and holds it against the settings.
+    ///
+    /// # Errors
+    /// All that is wrong with it.
+    pub fn load(path: Option<&Path>, site: &Site) -> Result<Setup, String> {
+        let Some(path) = path else { return Ok(Setup::default()) };
+        let setup = postusher_setup::load(path)?;
+        let known: Vec<&str> = site.classes.iter().map(|(name, _)| name.as_str()).collect();
+        let weights = setup.waiting.iter().flat_map(|w| w.weights.keys());
+        if let Some(other) = weights.into_iter().find(|name| !known.contains(&name.as_str())) {
+            let classes = known.join(", ");
+            return Err(format!("{}: there is no class {other:?}; there are {classes}", path.display()));
+        }
+        Ok(Setup(setup))
+    }
+
+    /// The bounds of the waiting room, if jobs may wait.
+    pub fn limits(&self, site: &Site) -> Option<postusher_waiting::Limits> {
+        let names = site.classes.iter().map(|(name, _)| name.as_str());
+        self.0.waiting.as_ref().map(|w| w.limits(names))
+    }
 }
 
 #[derive(Deserialize)]
@@ -59,10 +90,11 @@
 const FEWEST_SOCKETS: usize = 64;
 
 impl Config {
-    /// Reads a configuration file, or says in one line what is wrong with it.
-    pub fn load(path: &Path) -> Result<Config, String> {
+    /// Reads a configuration file, or says in one line what is wrong with it; and a setup file, where there is one.
+    pub fn load(path: &Path, setup: Option<&Path>) -> Result<Config, String> {
         let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
         let config = Config::read(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+        let config = Config { setup: Setup::load(setup, &config.site)?, ..config };
         Ok(Config { mgmt: config.mgmt.or(mgmt_of(std::env::var(MGMT).ok())?), ..config })
     }
 
@@ -85,6 +117,7 @@
             sockets: file.limits.sockets,
             known,
             site: postusher_settings::read(&file.settings)?,
+            setup: Setup::default(),
         })
     }
 }
@@ -151,7 +184,7 @@
             let error = Config::read(file.to_string().as_bytes()).err().unwrap();
             assert!(!error.is_empty() && !error.contains('\n'), "{key}: {error}");
         }
-        assert!(Config::load(Path::new("no/such/file")).err().unwrap().contains("no/such/file"));
+        assert!(Config::load(Path::new("no/such/file"), None).err().unwrap().contains("no/such/file"));
     }
 
     #[test]
--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -7,15 +7,17 @@
 use crate::event_loop::Key;
 use crate::figures::Figures;
 use crate::forward::End;
-use crate::handover::{MovedJob, MovedLeg};
+use crate::handover::{MovedJob, MovedLeg, MovedWait};
 use crate::intake::Job;
 use crate::invariant::{holds, Invariant};
 use crate::news::{report_from_text, News, State};
 use crate::target_group::TargetGroup;
+use crate::waiting::{Turned, Waiting};
 use postusher::{
     Action, Begun, Dispatcher, Ending, Event, JobId, ListKind, Member, Memory, Micros, Outcome, WorkerId,
 };
 use postusher_settings::{micros, Site};
+use postusher_waiting::{End as Ended, Limits, Verdict};
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -35,6 +37,8 @@
     Withdraw { target: WorkerId, trace: Rc<str> },
     /// Look at a target's load.
     Probe(WorkerId),
+    /// A job has ended so; told only where jobs wait for others.
+    Ended(Rc<str>, Ended),
     /// A client's id may come again.
     Over(Rc<str>),
     /// Keep a watch on the list.
@@ -49,6 +53,8 @@
     job: Job,
     expires: Millis,
     answered: bool,
+    /// It is in the waiting room, and the module has not heard of it.
+    held: bool,
     /// The last attempt that ended was turned away as nothing that can be run.
     rejected: bool,
     legs: Vec<Leg>,
@@ -79,9 +85,19 @@
     Deadline(JobId),
 }
 
+/// Why a job is not taken.
+#[derive(Debug, PartialEq)]
+pub enum NotTaken {
+    /// Another job under way has its id.
+    Twice,
+    /// It has had its final answer.
+    Answered(Answer),
+}
+
 /// The module with all that it is told and all that it wants.
 pub struct Dispatch {
     module: Dispatcher,
+    waiting: Waiting,
     site: Rc<Site>,
     events: Vec<Event>,
     deeds: Vec<Deed>,
@@ -103,6 +119,7 @@
         let figures = Figures::new(site.classes.iter().map(|(name, _)| name.as_str()));
         Dispatch {
             module: Dispatcher::new(site.settings.clone(), seed, micros(now)),
+            waiting: Waiting::default(),
             site,
             events: Vec::new(),
             deeds: Vec::new(),
@@ -116,6 +133,36 @@
         }
     }
 
+    /// Lets jobs wait, within these bounds.
+    pub fn with_waiting(self, limits: Option<Limits>) -> Self {
+        Dispatch { waiting: Waiting::new(limits), ..self }
+    }
+
+    /// The waiting room.
+    pub fn waiting(&self) -> &Waiting {
+        &self.waiting
+    }
+
+    /// Other bounds for the waiting room, if there is one.
+    pub fn set_waiting(&mut self, limits: Limits) {
+        self.waiting.set(limits);
+    }
+
+    /// A job has come to the other process of an upgrade; jobs here may wait for it.
+    pub fn opened_elsewhere(&mut self, trace: &str) {
+        self.waiting.opened(trace);
+    }
+
+    /// And has ended there so.
+    pub fn ended_elsewhere(&mut self, trace: &str, how: Ended, now: Millis) {
+        self.waiting.ended(trace, how, now);
+    }
+
+    /// The scheduler ends: what is held is refused at once.
+    pub fn close_waiting(&mut self) {
+        self.waiting.close();
+    }
+
     /// News of the list.
     pub fn members(&mut self, kind: ListKind, members: Vec<Member>) {
         self.events.push(Event::Members { kind, members });
@@ -142,16 +189,62 @@
         self.ends = at;
     }
 
-    /// A client's job; the client's id if another job under way has it already.
-    pub fn arrived(&mut self, client: Key, job: Job, now: Millis) -> Result<JobId, String> {
+    /// A client's job.
+    ///
+    /// # Errors
+    /// Why it is not taken; its client is to be told.
+    pub fn arrived(&mut self, client: Key, job: Job, now: Millis) -> Result<JobId, NotTaken> {
         if self.by_trace.contains_key(job.trace.as_str()) {
-            return Err(job.trace);
+            return Err(NotTaken::Twice);
         }
+        let waits = !job.waits.is_empty();
         let id = self.enter(client, job, now);
-        let event = self.requests.get(&id).map(|r| Event::Arrived(r.told(id)));
-        self.events.extend(event);
+        let Some(r) = self.requests.get_mut(&id) else { return Ok(id) };
         self.figures.taken += 1;
-        Ok(id)
+        if !waits {
+            self.waiting.opened(&r.trace);
+            self.events.push(Event::Arrived(r.told(id)));
+            return Ok(id);
+        }
+        match self.waiting.hold(id, client.number(), &r.job, r.expires, now) {
+            Ok(()) => {
+                r.held = true;
+                Ok(id)
+            }
+            Err(turned) => {
+                let class = r.job.class;
+                let answer = self.turned(turned);
+                self.figures.ended(class, answer.kind());
+                self.forget(id);
+                Err(NotTaken::Answered(answer))
+            }
+        }
+    }
+
+    /// What a client is told whose job is not held.
+    fn turned(&self, turned: Turned) -> Answer {
+        match turned {
+            Turned::Full { retry_after } => Answer::Refused { retry_after: self.advice(retry_after) },
+            Turned::Doomed => Answer::Failed(Failure::Dependency),
+            Turned::Circle => Answer::Failed(Failure::Circle),
+            Turned::TooLate => Answer::Failed(Failure::TooLate),
+        }
+    }
+
+    /// When to come back, as far as the settings allow to say.
+    fn advice(&self, retry_after: Millis) -> Millis {
+        let set = &self.site.settings;
+        if set.retry_after {
+            retry_after.min(set.max_retry_after as f64 / 1e3)
+        } else {
+            0.0
+        }
+    }
+
+    fn forget(&mut self, id: JobId) -> Option<Request> {
+        let r = self.requests.remove(&id)?;
+        self.by_trace.remove(&r.trace);
+        Some(r)
     }
 
     /// Keeps a job under a number of its own.
@@ -165,25 +258,39 @@
         self.timers.set(expires + OVERDUE, Due::Deadline(id));
         self.by_trace.insert(trace.clone(), id);
         let legs = Vec::new();
-        self.requests
-            .insert(id, Request { client, trace, job, expires, answered: false, rejected: false, legs });
+        let (answered, held, rejected) = (false, false, false);
+        self.requests.insert(id, Request { client, trace, job, expires, answered, held, rejected, legs });
         id
     }
 
-    /// A job comes over from another process of this scheduler with the attempts made there; the client's id if there
-    /// is one of it already.
+    /// A job comes over from another process of this scheduler with the attempts made there, or with its place in the
+    /// waiting room.
+    ///
+    /// # Errors
+    /// Why it is not taken; its client is to be told.
     pub fn adopt(
         &mut self,
         client: Key,
         job: Job,
         legs: Vec<(WorkerId, MovedLeg)>,
+        held: Option<MovedWait>,
         now: Millis,
-    ) -> Result<JobId, String> {
+    ) -> Result<JobId, NotTaken> {
         if self.has(&job.trace) {
-            return Err(job.trace);
+            return Err(NotTaken::Twice);
         }
         let id = self.enter(client, job, now);
         let Some(r) = self.requests.get_mut(&id) else { return Ok(id) };
+        if let Some(held) = held {
+            r.held = self.waiting.adopt(id, client.number(), &r.job, r.expires, held, now);
+            if r.held {
+                return Ok(id);
+            }
+            // There is no room here, as the setup of this process has none, or it ends.
+            self.forget(id);
+            return Err(NotTaken::Answered(Answer::Refused { retry_after: 0.0 }));
+        }
+        self.waiting.opened(&r.trace);
         let mut begun = Vec::new();
         for (n, (target, leg)) in legs.into_iter().enumerate() {
             let (name, sent, out, ran) = (leg.target.into(), now - leg.age, leg.out, leg.ran);
@@ -211,25 +318,37 @@
         let r = self.requests.get(&id).filter(|r| !r.answered && r.legs.iter().all(|l| !l.out || l.taken))?;
         let leg =
             |l: &Leg| MovedLeg { target: l.name.to_string(), age: now - l.sent, out: l.out, ran: l.ran };
-        let legs = r.legs.iter().map(leg).collect();
-        Some(MovedJob { request: r.job.payload.request(r.expires - now), last: false, legs })
+        let (legs, held) = (r.legs.iter().map(leg).collect(), self.waiting.parcel(id, now));
+        Some(MovedJob { request: r.job.payload.request(r.expires - now), last: false, legs, held })
     }
 
     /// Another process has a job now. The module here may go on with it in vain: nothing is done for a job that is
     /// not here.
     pub fn release(&mut self, id: JobId) {
-        if let Some(r) = self.requests.remove(&id) {
-            self.by_trace.remove(&r.trace);
+        if let Some(r) = self.forget(id) {
+            self.waiting.moved(&r.trace);
         }
     }
 
     /// A client has gone away.
-    pub fn client_gone(&mut self, id: JobId) {
+    pub fn client_gone(&mut self, id: JobId, now: Millis) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
         r.answered = true;
         self.figures.left += 1;
-        self.events.push(Event::ClientGone(id));
+        if !r.held {
+            self.events.push(Event::ClientGone(id));
+        }
         self.doubtful.push(id);
+        let trace = r.trace.clone();
+        self.has_ended(trace, Ended::Left, now);
+    }
+
+    /// A job is over as far as others are concerned that wait for it.
+    fn has_ended(&mut self, trace: Rc<str>, how: Ended, now: Millis) {
+        if self.waiting.is_on() {
+            self.waiting.ended(&trace, how, now);
+            self.deeds.push(Deed::Ended(trace, how));
+        }
     }
 
     /// Whether a job under this id is under way.
@@ -257,7 +376,7 @@
             // Guards against: a result thrown away since word of its attempt had been lost on the way.
             let State::Done(result) = news.state else { return };
             if !r.answered && r.legs.iter().any(from) {
-                self.answer(id, Answer::Served(result));
+                self.answer(id, Answer::Served(result), now);
                 self.events.push(Event::ClientGone(id));
             }
             return;
@@ -274,7 +393,7 @@
             }
             State::Done(result) => {
                 if !r.answered {
-                    self.answer(id, Answer::Served(result)); // the first result is the client's, at once
+                    self.answer(id, Answer::Served(result), now); // the first result is the client's, at once
                 }
                 self.settle(id, leg, Ending::Ok, news.report, now);
             }
@@ -346,8 +465,8 @@
     }
 
     /// When the next timer is due.
-    pub fn next_due(&self) -> Option<Millis> {
-        self.timers.next()
+    pub fn next_due(&self, now: Millis) -> Option<Millis> {
+        self.timers.next().into_iter().chain(self.waiting.next_due(now)).reduce(f64::min)
     }
 
     /// Whether the module is still owed something.
@@ -373,15 +492,46 @@
 
     /// Hands the module all that was gathered and turns what it wants into deeds.
     pub fn decide(&mut self, group: &TargetGroup, now: Millis) -> Vec<Deed> {
+        self.tell_module(group, now);
+        // After those at the door: what has waited gets the room that they leave.
+        if self.let_go(now) {
+            self.tell_module(group, now);
+        }
+        for id in std::mem::take(&mut self.doubtful) {
+            self.look_at(id, now);
+        }
+        std::mem::take(&mut self.deeds)
+    }
+
+    fn tell_module(&mut self, group: &TargetGroup, now: Millis) {
         let mut actions = Vec::new();
         self.module.handle_all(self.events.drain(..), micros(now), &mut actions);
         for action in actions {
             self.act(action, group, now);
         }
-        for id in std::mem::take(&mut self.doubtful) {
-            self.look_at(id, now);
+    }
+
+    /// Carries out what the waiting room wants; says whether the module is to hear of any job.
+    fn let_go(&mut self, now: Millis) -> bool {
+        let Dispatch { waiting, module, .. } = self;
+        let mut some = false;
+        for verdict in waiting.release(|| module.vacancy(), now) {
+            match verdict {
+                Verdict::Release(id) => {
+                    let id = JobId(id.0);
+                    let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) else { continue };
+                    r.held = false;
+                    self.events.push(Event::Arrived(r.told(id)));
+                    some = true;
+                }
+                Verdict::Fail(id) => self.answer(JobId(id.0), Answer::Failed(Failure::Dependency), now),
+                Verdict::Refuse { id, retry_after } => {
+                    let retry_after = self.advice(retry_after);
+                    self.answer(JobId(id.0), Answer::Refused { retry_after }, now);
+                }
+            }
         }
-        std::mem::take(&mut self.deeds)
+        some
     }
 
     fn act(&mut self, action: Action, group: &TargetGroup, now: Millis) {
@@ -389,7 +539,14 @@
             Action::Send { job, worker, within } => self.send(job, worker, within, group, now),
             Action::Withdraw { job, leg } => self.withdraw(job, leg, now),
             Action::Refuse { job, retry_after } => {
-                self.answer(job, Answer::Refused { retry_after: retry_after as f64 / 1e3 });
+                let unsent = |r: &&mut Request| !r.answered && r.legs.is_empty();
+                if let Some(r) = self.requests.get_mut(&job).filter(unsent) {
+                    r.held = self.waiting.turned_away(job, now);
+                    if r.held {
+                        return;
+                    }
+                }
+                self.answer(job, Answer::Refused { retry_after: retry_after as f64 / 1e3 }, now);
             }
             Action::Fail { job } => {
                 let why = match self.requests.get(&job) {
@@ -397,7 +554,7 @@
                     Some(r) if r.rejected => Failure::Rejected,
                     _ => Failure::Forward,
                 };
-                self.answer(job, Answer::Failed(why));
+                self.answer(job, Answer::Failed(why), now);
             }
             Action::Wake { after, cookie } => {
                 self.timers.set(now + after as f64 / 1e3, Due::Module(cookie));
@@ -409,15 +566,17 @@
     }
 
     /// A request's one final answer; what comes after it is ignored.
-    fn answer(&mut self, id: JobId, answer: Answer) {
+    fn answer(&mut self, id: JobId, answer: Answer, now: Millis) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
         r.answered = true;
         if !matches!(answer, Answer::Served(_)) {
             log::debug!("{} of class {}, {} slots: {answer:?}", r.trace, r.job.class, r.job.slots);
         }
-        self.figures.ended(r.job.class, answer.kind());
+        let (how, trace) = (answer.kind(), r.trace.clone());
+        self.figures.ended(r.job.class, how);
         self.deeds.push(Deed::Answer(r.client, answer));
         self.doubtful.push(id);
+        self.has_ended(trace, how.into(), now);
     }
 
     fn send(&mut self, id: JobId, target: WorkerId, within: Micros, group: &TargetGroup, now: Millis) {
@@ -492,15 +651,13 @@
             // Guards against: a client that waits for ever, should the module ever forget its job.
             holds(Invariant::AnsweredInTime, false);
             self.events.push(Event::ClientGone(id));
-            self.answer(id, Answer::Failed(Failure::Expired));
+            self.answer(id, Answer::Failed(Failure::Expired), now);
         }
         let Some(r) = self.requests.get(&id) else { return };
         // The module may have ideas of its own about a job until it has had all that is gathered.
         if r.answered && r.legs.iter().all(|l| !l.out) {
             if self.events.is_empty() {
-                let over = self.requests.remove(&id);
-                if let Some(r) = over {
-                    self.by_trace.remove(&r.trace);
+                if let Some(r) = self.forget(id) {
                     self.deeds.push(Deed::Over(r.trace));
                 }
             } else {
--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -6,7 +6,7 @@
 use crate::drain::Drain;
 use crate::figures::Final;
 use crate::forward::{self, Pool, Task};
-use crate::handover::{self, Message};
+use crate::handover::{self, Message, Word};
 use crate::http::{Outbox, RequestLine};
 use crate::invariant;
 use crate::listener::{self, State};
@@ -65,6 +65,13 @@
     serial: u64,
 }
 
+impl Key {
+    /// A number that no other connection of this process ever has.
+    pub fn number(self) -> u64 {
+        self.serial
+    }
+}
+
 #[cfg(test)]
 impl Key {
     /// A key where there are no sockets.
@@ -182,7 +189,8 @@
         let (most_listeners, most_forwards) = shares(config.sockets, management.is_some());
         let site = Rc::new(config.site);
         let longest = site.classes.iter().map(|(_, limit)| *limit).fold(0.0, f64::max);
-        let mut dispatch = Dispatch::new(site.clone(), config.seed, now);
+        let limits = config.setup.limits(&site);
+        let mut dispatch = Dispatch::new(site.clone(), config.seed, now).with_waiting(limits);
         let mut group = TargetGroup::new(&site);
         let members = group.apply(config.known).members;
         log::info!(
@@ -258,7 +266,7 @@
         let accept = (self.accept_at > 0.0).then_some(self.accept_at);
         // Once they are to be closed, connections fall idle one by one.
         let closes = self.drain.closes_at().map(|at| at.max(now + CLOSE_EVERY));
-        let wakes = [self.dispatch.next_due(), self.timers.next(), closes, accept];
+        let wakes = [self.dispatch.next_due(now), self.timers.next(), closes, accept];
         let next = wakes.into_iter().flatten().fold(now + LONGEST_SLEEP, f64::min);
         let more = self.dispatch.has_events() || !self.again.is_empty();
         let micros = if more { 0.0 } else { ((next - now) * 1e3).ceil().max(0.0) };
@@ -338,6 +346,9 @@
                 self.call(target, Task::Probe(target), &line, now);
             }
             Deed::Over(id) => self.tell(|| Message::Over(id.to_string())),
+            Deed::Ended(id, how) => {
+                self.tell(|| Message::Ended(Word { id: id.to_string(), how: how.into() }));
+            }
             Deed::Watch => {
                 if self.watch.is_none() {
                     self.watch(now);
@@ -365,6 +376,7 @@
         self.drain.begin(self.clock.now());
         if !self.drain.has_successor() {
             self.drain.ends_at().into_iter().for_each(|at| self.dispatch.ends_at(at));
+            self.dispatch.close_waiting();
         }
     }
 
@@ -381,6 +393,7 @@
         self.dispatch.figures.reloads_ok += 1;
         self.descriptors = new.sockets;
         self.share();
+        new.waiting.into_iter().for_each(|limits| self.dispatch.set_waiting(limits));
         let moved = new.discovery != self.discovery;
         log::info!("SIGHUP: discovery at {}{}", new.discovery, if moved { "" } else { ", as before" });
         if !new.restart.is_empty() {
--- a/node/src/event_loop/listeners.rs
+++ b/node/src/event_loop/listeners.rs
@@ -3,6 +3,7 @@
 use super::{EventLoop, Key, Role, Socket};
 use crate::answer::Answer;
 use crate::clock::Millis;
+use crate::dispatch::NotTaken;
 use crate::handover::Message;
 use crate::http;
 use crate::intake::{self, Ask};
@@ -73,7 +74,7 @@
                     continue;
                 }
             };
-            match intake::read(message, &self.site) {
+            match intake::read(message, &self.site, self.dispatch.waiting().is_on()) {
                 Ask::Up => {
                     let up = !self.drain.is_on();
                     let (status, keep) = if up { (200, self.drain.keeps(now, false)) } else { (503, false) };
@@ -107,7 +108,7 @@
                             *job = Some(id);
                         }
                     }
-                    Err(_) => self.reply(key, now, false, |keep| http::response(409, &[], b"", keep)),
+                    Err(not) => self.not_taken(key, &not, now),
                 },
                 Ask::Wrong(status) => {
                     let allow = [("Allow", "POST".to_string())];
@@ -140,6 +141,17 @@
         *job = None;
     }
 
+    /// Tells a client that its job is not taken.
+    pub(super) fn not_taken(&mut self, key: Key, not: &NotTaken, now: Millis) {
+        match not {
+            NotTaken::Twice => self.reply(key, now, false, |keep| http::response(409, &[], b"", keep)),
+            NotTaken::Answered(answer) => {
+                let keep = self.drain.keeps(now, true);
+                self.reply(key, now, keep, |keep| answer.bytes(keep));
+            }
+        }
+    }
+
     /// Gives a client its final answer.
     pub(super) fn answer(&mut self, client: Key, answer: &Answer, now: Millis) {
         let keep = self.drain.keeps(now, !matches!(answer, Answer::Served(_)));
--- a/node/src/event_loop/managers.rs
+++ b/node/src/event_loop/managers.rs
@@ -2,7 +2,7 @@
 
 use super::{EventLoop, Key, Role, Socket, MANAGEMENT};
 use crate::clock::Millis;
-use crate::figures::Gauges;
+use crate::figures::{Gauges, WaitingGauges};
 use crate::handover::Message;
 use crate::http;
 use crate::listener;
@@ -135,11 +135,17 @@
     }
 
     fn stats(&self) -> String {
+        let waiting = self.dispatch.waiting().count(self.clock.now()).map(|c| WaitingGauges {
+            held: c.held,
+            released: c.released,
+            longest_wait_ms: c.longest_wait as u64,
+        });
         let avoided = self.group.listed().filter(|target| self.dispatch.avoids(*target)).count();
         self.dispatch.figures.json(Gauges {
             in_flight: self.dispatch.unanswered(),
             workers_known: self.group.listed().count(),
             workers_excluded: avoided,
+            waiting,
         })
     }
 }
--- a/node/src/event_loop/sockets.rs
+++ b/node/src/event_loop/sockets.rs
@@ -275,7 +275,7 @@
                 let job = job.take();
                 self.close(key);
                 if let Some(job) = job {
-                    self.dispatch.client_gone(job);
+                    self.dispatch.client_gone(job, now);
                 }
             }
             Role::Manager(_) => self.close(key),
--- a/node/src/event_loop/upgrade.rs
+++ b/node/src/event_loop/upgrade.rs
@@ -2,7 +2,7 @@
 
 use super::{shares, EventLoop, Key, Role, Socket, DOOR, LISTENER, PEER};
 use crate::clock::{Clock, Millis};
-use crate::handover::{Learned, Link, Message, Moved, MovedJob, State};
+use crate::handover::{Learned, Link, Message, Moved, MovedJob, State, Word};
 use crate::http::{self, Decoder};
 use crate::intake::{self, Ask};
 use crate::listener;
@@ -10,6 +10,7 @@
 use crate::news::News;
 use mio::net::{TcpStream, UnixListener, UnixStream};
 use mio::Interest;
+use postusher_waiting::End;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -144,7 +145,13 @@
         if state.drained {
             self.drain.inherit(self.clock.now());
         }
+        state.open.iter().for_each(|id| self.dispatch.opened_elsewhere(id));
         self.upgrade.foreign.extend(state.open);
+        let now = self.clock.now();
+        for Word { id, how } in state.ended {
+            self.dispatch.opened_elsewhere(&id);
+            self.dispatch.ended_elsewhere(&id, how.into(), now);
+        }
         self.meet(UnixStream::from_std(stream), link)?;
         // The list known may be old, and a call for changes may wait for long.
         self.group.moved();
@@ -181,6 +188,7 @@
             taken_out: self.group.names_out().map(String::from).collect(),
             drained: self.drain.is_called(),
             open: self.dispatch.open_ids().map(String::from).collect(),
+            ended: self.dispatch.waiting().remembered(self.clock.now()),
         }));
         link.outbox.sent(send_along(&stream, link.outbox.unsent(), self.listener.as_fd())?);
         self.meet(stream, link)
@@ -299,7 +307,11 @@
                 let memory = learned.memory(|name| self.group.id(name));
                 self.dispatch.learned(memory);
             }
-            Message::Open(id) => drop(self.upgrade.foreign.insert(id)),
+            Message::Open(id) => {
+                self.dispatch.opened_elsewhere(&id);
+                self.upgrade.foreign.insert(id);
+            }
+            Message::Ended(Word { id, how }) => self.dispatch.ended_elsewhere(&id, how.into(), now),
             Message::Over(id) => drop(self.upgrade.foreign.remove(&id)),
             Message::State(_) => log::warn!("upgrade: a state that nobody asked for"),
         }
@@ -365,7 +377,7 @@
         let Some(moved) = job else { return self.drive(key) };
         let mut decoder = Decoder::new();
         decoder.feed(&moved.request);
-        let ask = decoder.next().ok().flatten().map(|message| intake::read(message, &self.site));
+        let ask = decoder.next().ok().flatten().map(|message| intake::read(message, &self.site, false));
         let Some(Ask::Job(job)) = ask else {
             log::warn!("upgrade: a job that came over cannot be read");
             self.reply(key, now, false, |keep| http::response(502, &[], b"", keep));
@@ -373,13 +385,13 @@
         };
         self.upgrade.foreign.remove(&job.trace);
         let legs = moved.legs.into_iter().map(|leg| (self.group.id(&leg.target), leg)).collect();
-        match self.dispatch.adopt(key, *job, legs, now) {
+        match self.dispatch.adopt(key, *job, legs, moved.held, now) {
             Ok(id) => {
                 if let Some(Socket { role: Role::Listener(_, job), .. }) = self.socket(key) {
                     *job = Some(id);
                 }
             }
-            Err(_) => self.reply(key, now, false, |keep| http::response(409, &[], b"", keep)),
+            Err(not) => self.not_taken(key, &not, now),
         }
         self.drive(key);
     }
@@ -388,7 +400,14 @@
     fn peer_gone(&mut self) {
         let Some(mut peer) = self.upgrade.peer.take() else { return };
         let _ = self.poll.registry().deregister(&mut peer.stream); // it closes with the end of this
-        self.upgrade.foreign.clear();
+        let now = self.clock.now();
+        for id in std::mem::take(&mut self.upgrade.foreign) {
+            // It has died with that process: whoever waits for it here would wait in vain.
+            self.dispatch.ended_elsewhere(&id, End::Left, now);
+        }
+        if self.drain.is_leaving() {
+            self.dispatch.close_waiting();
+        }
         self.upgrade.moved.clear();
         self.drain.succeeded(false);
         self.drain.ends_at().into_iter().for_each(|at| self.dispatch.ends_at(at));
--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -1,5 +1,6 @@
 //! The figures of a scheduler since its start: one owner of all that is counted, and what `GET /stats` shows of it.
 
+use postusher_waiting::End;
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -14,6 +15,16 @@
     Failed,
 }
 
+impl From<Final> for End {
+    fn from(how: Final) -> End {
+        match how {
+            Final::Served => End::Served,
+            Final::Refused => End::Refused,
+            Final::Failed => End::Failed,
+        }
+    }
+}
+
 /// A class's jobs by how they ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Ended([u64; 3]);
@@ -46,6 +57,20 @@
     pub workers_known: usize,
     /// Those of them that are avoided, by hand or by the module's choice.
     pub workers_excluded: usize,
+    /// Of the waiting room, where there is one.
+    #[serde(flatten)]
+    pub waiting: Option<WaitingGauges>,
+}
+
+/// Figures of the waiting room.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct WaitingGauges {
+    /// Jobs held.
+    pub held: usize,
+    /// Jobs that went on to the module since the start.
+    pub released: u64,
+    /// The longest that one which was ready has waited for that.
+    pub longest_wait_ms: u64,
 }
 
 /// The form in which operators get the figures.
@@ -113,7 +138,7 @@
     fn every_class_and_figure_is_shown_from_the_start_and_each_end_counts_under_its_own() {
         let mut figures = Figures::new(["render", "fund"].into_iter());
         let shown = |f: &Figures| {
-            let gauges = Gauges { in_flight: 3, workers_known: 12, workers_excluded: 1 };
+            let gauges = Gauges { in_flight: 3, workers_known: 12, workers_excluded: 1, waiting: None };
             serde_json::from_str::<Value>(&f.json(gauges)).unwrap()
         };
         let none = json!({"render": 0, "fund": 0});
@@ -122,6 +147,10 @@
             json!({"served": none, "refused": none, "failed": none, "attempts": 0, "in_flight": 3,
                 "workers_known": 12, "workers_excluded": 1, "reloads_ok": 0, "reloads_failed": 0})
         );
+        let waiting = Some(WaitingGauges { held: 5, released: 7, longest_wait_ms: 250 });
+        let with: Value =
+            serde_json::from_str(&figures.json(Gauges { waiting, ..Gauges::default() })).unwrap();
+        assert_eq!([&with["held"], &with["released"], &with["longest_wait_ms"]], [5, 7, 250]);
         figures.ended(0, Final::Served);
         figures.ended(1, Final::Served);
         figures.ended(1, Final::Refused);
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -5,6 +5,7 @@
 use crate::http::Outbox;
 use crate::management::Call;
 use postusher::{Memory, WorkerId};
+use postusher_waiting::End;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -25,6 +26,8 @@
     Open(String),
     /// And is over.
     Over(String),
+    /// A job of the other has ended so, for those that wait for it.
+    Ended(Word),
     /// From the old one, once the new one takes clients: what it has learned.
     Learned(Learned),
     /// A client's connection comes over, and with it the job that it waits for.
@@ -40,6 +43,54 @@
     pub drained: bool,
     /// The ids of jobs under way.
     pub open: Vec<String>,
+    /// Jobs that have ended and may still be waited for, the first to end in front.
+    #[serde(default)]
+    pub ended: Vec<Word>,
+}
+
+/// How a job has ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Word {
+    /// The client's id for it.
+    pub id: String,
+    /// How.
+    pub how: How,
+}
+
+/// The ends of jobs, as they are told.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum How {
+    /// See [`End`].
+    Served,
+    /// See [`End`].
+    Refused,
+    /// See [`End`].
+    Failed,
+    /// See [`End`].
+    Left,
+}
+
+impl From<End> for How {
+    fn from(end: End) -> How {
+        match end {
+            End::Served => How::Served,
+            End::Refused => How::Refused,
+            End::Failed => How::Failed,
+            End::Left => How::Left,
+        }
+    }
+}
+
+impl From<How> for End {
+    fn from(how: How) -> End {
+        match how {
+            How::Served => End::Served,
+            How::Refused => End::Refused,
+            How::Failed => End::Failed,
+            How::Left => End::Left,
+        }
+    }
 }
 
 /// The module's memory, with targets by name.
@@ -106,6 +157,22 @@
     pub last: bool,
     /// Its attempts, in order.
     pub legs: Vec<MovedLeg>,
+    /// It is held, and waits for this.
+    #[serde(default)]
+    pub held: Option<MovedWait>,
+}
+
+/// What a job that comes over waits for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MovedWait {
+    /// The jobs that have not ended yet, and whether any end will do.
+    pub after: Vec<(String, bool)>,
+    /// Not to start before so long from now.
+    pub start_in: Option<Millis>,
+    /// For how long it has been ready.
+    pub ready_for: Option<Millis>,
+    /// For so long those that nobody knows may still arrive.
+    pub grace_left: Millis,
 }
 
 /// An attempt of a job that comes over.
@@ -122,7 +189,7 @@
 }
 
 /// So much may wait for the other process. Guards against: one that has stopped reading and fills the memory.
-const MOST_WAITING: usize = 4 * 1024 * 1024;
+const MOST_WAITING: usize = 16 * 1024 * 1024;
 
 /// The way to the other process: what has come in part, and what waits to be sent.
 #[derive(Default)]
@@ -178,7 +245,13 @@
     #[test]
     fn messages_come_through_in_pieces_of_any_size_and_unreadable_ones_are_left_out() {
         let told = [
-            Message::State(State { taken_out: vec!["s-1".into()], drained: true, open: vec!["9b\n".into()] }),
+            Message::State(State {
+                taken_out: vec!["s-1".into()],
+                drained: true,
+                open: vec!["9b\n".into()],
+                ended: vec![Word { id: "t0".into(), how: How::Left }],
+            }),
+            Message::Ended(Word { id: "t9".into(), how: How::Served }),
             Message::Ready,
             Message::Called(Call::TakeOut("s-2".into())),
             Message::News("{\"id\":\"9b\"}\n".into()),
@@ -191,6 +264,12 @@
                     request: vec![0, 255, b'\n'],
                     last: false,
                     legs: vec![MovedLeg { target: "s-1".into(), age: 7.0, out: true, ran: true }],
+                    held: Some(MovedWait {
+                        after: vec![("t8".into(), true)],
+                        start_in: Some(2.5),
+                        ready_for: None,
+                        grace_left: 1.5,
+                    }),
                 }),
             }),
         ];
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -347,6 +347,7 @@
         409 => "Conflict",
         413 => "Content Too Large",
         417 => "Expectation Failed",
+        424 => "Failed Dependency",
         431 => "Request Header Fields Too Large",
         501 => "Not Implemented",
         502 => "Bad Gateway",
--- a/node/src/intake.rs
+++ b/node/src/intake.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::Millis;
 use crate::http::{self, Headers, Message, RequestLine};
+use crate::waiting::Waits;
 use postusher::{Effect, Micros};
 use postusher_settings::Site;
 
@@ -20,6 +21,8 @@
     pub slots: u32,
     /// For how long the client waits, from when it sent the job.
     pub wait: Millis,
+    /// What it waits for before it starts, where jobs may wait.
+    pub waits: Waits,
     /// What a target is sent.
     pub payload: Payload,
 }
@@ -68,20 +71,21 @@
     EXPIRES,
 ];
 
-/// Reads what a client or a target wants.
-pub fn read(message: Message<RequestLine>, site: &Site) -> Ask {
+/// Reads what a client or a target wants. `waiting`: jobs may say that they wait; else what says so means nothing and
+/// is passed on.
+pub fn read(message: Message<RequestLine>, site: &Site, waiting: bool) -> Ask {
     let path = message.line.target.split('?').next().unwrap_or("");
     let post = message.line.method == "POST";
     match path {
         UP if message.line.method == "GET" => Ask::Up,
         NEWS if post => Ask::News(message.body),
         UP | NEWS => Ask::Wrong(405),
-        _ => job(message, site).map_or_else(Ask::Wrong, |job| Ask::Job(Box::new(job))),
+        _ => job(message, site, waiting).map_or_else(Ask::Wrong, |job| Ask::Job(Box::new(job))),
     }
 }
 
-fn job(message: Message<RequestLine>, site: &Site) -> Result<Job, u16> {
-    let Message { line, headers, body, .. } = message;
+fn job(message: Message<RequestLine>, site: &Site, waiting: bool) -> Result<Job, u16> {
+    let Message { line, mut headers, body, .. } = message;
     let path = line.target.split('?').next().unwrap_or("");
     let first = path.strip_prefix('/').and_then(|p| p.split('/').next()).ok_or(400u16)?;
     // Guards against: what a target would refuse or take for something else. All that the scheduler or a target
@@ -109,26 +113,29 @@
     if headers.all("Expect").any(|v| !v.eq_ignore_ascii_case(b"100-continue")) {
         return Err(417);
     }
+    let (slots, key) = (slots.unwrap_or(1), single("X-Object")?.map_or(0, key));
+    let waits = if waiting { Waits::take(&mut headers).ok_or(400u16)? } else { Waits::default() };
     Ok(Job {
         trace,
         class: class as u16,
-        key: single("X-Object")?.map_or(0, key),
+        key,
         hint: hint.map(postusher_settings::micros),
-        slots: slots.unwrap_or(1),
+        slots,
         wait,
+        waits,
         payload: Payload { line, headers, body },
     })
 }
 
 /// Whether an id can stand in a path as it is. Guards against: an id that makes another request of a withdrawal.
-fn is_id(id: &str) -> bool {
+pub fn is_id(id: &str) -> bool {
     let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b'~' | b':');
     (1..=128).contains(&id.len()) && id.bytes().all(plain)
 }
 
 /// A length of time with its unit, `m` for milliseconds or `u` for microseconds, or in the usual unit where there
 /// is one.
-fn millis(text: &str, usual: Option<Millis>) -> Option<Millis> {
+pub fn millis(text: &str, usual: Option<Millis>) -> Option<Millis> {
     let (number, unit) = match text.as_bytes().last()? {
         b'm' => (&text[..text.len() - 1], 1.0),
         b'u' => (&text[..text.len() - 1], 1e-3),
@@ -165,6 +172,12 @@
 }
 
 impl Payload {
+    /// The memory that it takes, as far as it grows with the message.
+    pub fn size(&self) -> usize {
+        let headers: usize = self.headers.0.iter().map(|(name, value)| name.len() + value.len()).sum();
+        self.line.target.len() + headers + self.body.len()
+    }
+
     /// The message for a target that is waited for so long.
     pub fn request(&self, left: Millis) -> Vec<u8> {
         let left = format!("{}u", (left.max(0.0) * 1e3) as u64);
@@ -188,7 +201,7 @@
     pub fn ask(text: &str) -> Ask {
         let mut decoder = Decoder::new();
         decoder.feed(text.as_bytes());
-        read(decoder.next().unwrap().unwrap(), &config().site)
+        read(decoder.next().unwrap().unwrap(), &config().site, true)
     }
 
     /// A job from a message, or its status.
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -21,11 +21,13 @@
 mod news;
 mod reload;
 mod target_group;
+mod waiting;
 
 use clap::{Args, Parser, Subcommand};
 use clock::Clock;
 use config::Config;
 use event_loop::EventLoop;
+use postusher_setup::Setup;
 use reload::Reload;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -41,7 +43,13 @@
 #[derive(Subcommand)]
 enum Command {
     /// Run a scheduler in the foreground until SIGTERM.
-    Serve(ConfigArg),
+    Serve(ServeArgs),
+    /// Read a setup file and name every mistake in it, with its place and what to write instead.
+    Check {
+        /// The setup, as XML.
+        #[arg(value_name = "FILE")]
+        setup: PathBuf,
+    },
     /// Read a configuration and say what is wrong with it, if anything.
     CheckConfig(ConfigArg),
     /// Print the version.
@@ -55,17 +63,33 @@
     config: PathBuf,
 }
 
+#[derive(Args)]
+struct ServeArgs {
+    #[command(flatten)]
+    config: ConfigArg,
+    /// What this scheduler can do beyond the configuration, as XML; without it, nothing more.
+    #[arg(long, value_name = "FILE")]
+    setup: Option<PathBuf>,
+}
+
 fn run(command: Command) -> Result<(), String> {
     match command {
         Command::Serve(arg) => {
             let signals = EventLoop::signals().map_err(|e| format!("signals: {e}"))?;
-            let config = Config::load(&arg.config)?;
-            let (name, reload) = (config.name.clone(), Reload::new(arg.config, &config));
+            let ServeArgs { config: ConfigArg { config: path }, setup } = arg;
+            let config = Config::load(&path, setup.as_deref())?;
+            let (name, reload) = (config.name.clone(), Reload::new(path, setup, &config));
             let serving = EventLoop::new(config, reload, signals, Clock::system()).and_then(|mut l| l.run());
             serving.map_err(|e| format!("{name}: {e}"))
         }
+        Command::Check { setup } => {
+            let Setup { waiting } = postusher_setup::load(&setup)?;
+            let jobs = waiting.map_or("nothing waits".to_string(), |w| format!("up to {} jobs wait", w.jobs));
+            println!("{}: good; {jobs}", setup.display());
+            Ok(())
+        }
         Command::CheckConfig(arg) => {
-            let config = Config::load(&arg.config)?;
+            let config = Config::load(&arg.config, None)?;
             let (classes, targets) = (config.site.classes.len(), config.known.entries.len());
             println!("{}: good; {classes} classes, {targets} targets known", arg.config.display());
             Ok(())
--- a/node/src/model.rs
+++ b/node/src/model.rs
@@ -280,7 +280,7 @@
                 let last = open.max_by_key(|(id, _)| (Some(*id) == self.ended.map(|e| e.0), *id));
                 if let Some((id, n)) = last {
                     self.jobs.entry(n).and_modify(|told| told.over = true);
-                    self.dispatch.client_gone(id);
+                    self.dispatch.client_gone(id, self.now);
                 }
             }
             (10, _) => {
@@ -313,7 +313,7 @@
         for (old, n, job) in moved {
             let legs = job.legs.into_iter().map(|leg| (self.group.id(&leg.target), leg)).collect();
             let request = job_of(std::str::from_utf8(&job.request).unwrap()).unwrap();
-            let id = new.adopt(self.jobs[&n].client, request, legs, self.now).unwrap();
+            let id = new.adopt(self.jobs[&n].client, request, legs, job.held, self.now).unwrap();
             self.ids.insert(id, n);
             let of = before.iter().filter(|((id, _), _)| *id == old);
             self.attempts.extend(of.map(|((_, leg), attempt)| ((id, *leg), attempt.clone())));
@@ -403,7 +403,7 @@
                 let key = at.expect("withdrawn though not taken or over");
                 self.attempts.entry(key).and_modify(|a| a.out = false);
             }
-            Deed::Probe(_) | Deed::Over(_) | Deed::Watch | Deed::Disconnect(_) => {}
+            Deed::Probe(_) | Deed::Over(_) | Deed::Ended(..) | Deed::Watch | Deed::Disconnect(_) => {}
         }
     }
 }
--- a/node/src/reload.rs
+++ b/node/src/reload.rs
@@ -1,17 +1,20 @@
 //! A configuration read again: what a running scheduler takes over of it, and what it cannot.
 
-use crate::config::Config;
+use crate::config::{Config, Setup};
 use postusher_settings::Site;
+use postusher_waiting::Limits;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// Where the configuration is read again, and what of the first reading is in force until a restart.
 pub struct Reload {
     path: PathBuf,
+    setup_path: Option<PathBuf>,
     name: String,
     listen: SocketAddr,
     mgmt: Option<SocketAddr>,
     site: Site,
+    setup: Setup,
 }
 
 /// What a configuration read again says.
@@ -21,28 +24,33 @@
     pub discovery: SocketAddr,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Bounds of the waiting room.
+    pub waiting: Option<Limits>,
     /// Parts that have changed and are not taken over.
     pub restart: Vec<&'static str>,
 }
 
 impl Reload {
     /// Remembers what a scheduler starts with. Its seed and the list that it knew are for a start alone.
-    pub fn new(path: PathBuf, config: &Config) -> Self {
-        let (name, site) = (config.name.clone(), config.site.clone());
-        Reload { path, name, listen: config.listen, mgmt: config.mgmt, site }
+    pub fn new(path: PathBuf, setup_path: Option<PathBuf>, config: &Config) -> Self {
+        let (name, site, setup) = (config.name.clone(), config.site.clone(), config.setup.clone());
+        Reload { path, setup_path, name, listen: config.listen, mgmt: config.mgmt, site, setup }
     }
 
     /// Reads the file again; a file with anything wrong in it is of no use as a whole.
     pub fn read(&self) -> Result<New, String> {
-        let config = Config::load(&self.path)?;
+        let config = Config::load(&self.path, self.setup_path.as_deref())?;
+        let has_waiting = |setup: &Setup| setup.0.waiting.is_some();
         let parts = [
             ("name", config.name != self.name),
             ("listen", config.listen != self.listen),
             ("mgmt", config.mgmt != self.mgmt),
             ("settings", config.site != self.site),
+            ("<waiting>", has_waiting(&config.setup) != has_waiting(&self.setup)),
         ];
         let restart = parts.into_iter().filter(|(_, changed)| *changed).map(|(part, _)| part).collect();
-        Ok(New { discovery: config.discovery, sockets: config.sockets, restart })
+        let waiting = config.setup.limits(&self.site);
+        Ok(New { discovery: config.discovery, sockets: config.sockets, waiting, restart })
     }
 }
 
@@ -55,7 +63,7 @@
     #[test]
     fn a_new_file_tells_what_has_changed_and_a_broken_one_is_refused() {
         let path = std::env::temp_dir().join(format!("postusher-reload-{}.json", std::process::id()));
-        let reload = Reload::new(path.clone(), &config());
+        let reload = Reload::new(path.clone(), None, &config());
         let read = |key: &str, value: serde_json::Value| {
             let mut file = sample();
             file[key] = value;
@@ -64,7 +72,7 @@
         };
         let discovery: SocketAddr = ([127, 0, 0, 1], 10).into();
         let moved = read("discovery", json!("127.0.0.1:10"));
-        assert_eq!(moved, Ok(New { discovery, sockets: 128, restart: Vec::new() }));
+        assert_eq!(moved, Ok(New { discovery, sockets: 128, waiting: None, restart: Vec::new() }));
         // Seed and list are new with each start, and mean nothing to one that runs.
         assert!(read("seed", json!("1")).is_ok_and(|new| new.restart.is_empty()));
         assert_eq!(read("limits", json!({"sockets": 256})).unwrap().sockets, 256);
--- a/node/tests/serve.rs
+++ b/node/tests/serve/main.rs
@@ -6,6 +6,8 @@
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::time::Duration;
 
+mod waiting;
+
 /// Far longer than anything takes here: a test that waits so long hangs.
 const HANG: Duration = Duration::from_secs(30);
 
@@ -17,6 +19,7 @@
     target: TcpListener,
     discovery: TcpListener,
     config: PathBuf,
+    setup: Option<PathBuf>,
 }
 
 /// A configuration file with so many targets, all at one address.
@@ -51,11 +54,15 @@
         let target = TcpListener::bind("127.0.0.1:0").unwrap();
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let config = config(name, discovery.local_addr().unwrap(), target.local_addr().unwrap(), targets);
-        Scheduler::launch(config, target, discovery)
+        Scheduler::launch(config, None, target, discovery)
     }
 
     /// One at an address that a newer one can be given, too; `host` is no other test's, nor that of any client.
     fn upgradable(name: &str, host: u8) -> Scheduler {
+        Scheduler::upgradable_with(name, host, None)
+    }
+
+    fn upgradable_with(name: &str, host: u8, setup: Option<PathBuf>) -> Scheduler {
         let (target, discovery) =
             (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
         let config = config(name, discovery.local_addr().unwrap(), target.local_addr().unwrap(), 1);
@@ -63,13 +70,13 @@
             TcpListener::bind(SocketAddr::from(([127, 77, 0, host], 0))).unwrap().local_addr().unwrap();
         let text = std::fs::read_to_string(&config).unwrap();
         std::fs::write(&config, text.replacen("127.0.0.1:0", &free.to_string(), 1)).unwrap();
-        Scheduler::launch(config, target, discovery)
+        Scheduler::launch(config, setup, target, discovery)
     }
 
     /// A newer process beside this one.
     fn newer(&self) -> Scheduler {
         let (target, discovery) = (self.target.try_clone().unwrap(), self.discovery.try_clone().unwrap());
-        Scheduler::launch(self.config.clone(), target, discovery)
+        Scheduler::launch(self.config.clone(), self.setup.clone(), target, discovery)
     }
 
     /// The newer process beside this one, with its list; also the two watches on it.
@@ -88,9 +95,15 @@
         (new, [old, list])
     }
 
-    fn launch(config: PathBuf, target: TcpListener, discovery: TcpListener) -> Scheduler {
+    fn launch(
+        config: PathBuf,
+        setup: Option<PathBuf>,
+        target: TcpListener,
+        discovery: TcpListener,
+    ) -> Scheduler {
         let mut command = Command::new(env!("CARGO_BIN_EXE_postusher"));
         let command = command.arg("serve").arg("--config").arg(&config).env_remove("RUST_LOG");
+        let command = setup.iter().fold(command, |c, path| c.arg("--setup").arg(path));
         let command = command.env("TMPDIR", env!("CARGO_TARGET_TMPDIR"));
         let mut process = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(process.stderr.take().unwrap());
@@ -101,7 +114,7 @@
             addr.parse().unwrap()
         };
         let (addr, mgmt) = (address("listening on "), address("operators call at "));
-        Scheduler { addr, mgmt, process, log, target, discovery, config }
+        Scheduler { addr, mgmt, process, log, target, discovery, config, setup }
     }
 
     fn connect(&self) -> Peer {
--- /dev/null
+++ b/node/tests/serve/waiting.rs
@@ -0,0 +1,256 @@
+//! Jobs that wait, on sockets.
+
+use super::*;
+use std::time::Instant;
+
+/// A setup file of this text.
+fn setup(name: &str, text: &str) -> PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.xml"));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+/// A scheduler at which jobs may wait.
+fn waiting(name: &str, attributes: &str) -> Scheduler {
+    let setup = setup(name, &format!("<postusher><waiting {attributes}/></postusher>"));
+    let target = TcpListener::bind("127.0.0.1:0").unwrap();
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let config = config(name, discovery.local_addr().unwrap(), target.local_addr().unwrap(), 1);
+    Scheduler::launch(config, Some(setup), target, discovery)
+}
+
+/// A client that has sent a job with these headers.
+fn client(s: &Scheduler, id: &str, headers: &str) -> Peer {
+    let mut peer = s.connect();
+    peer.send(&format!("POST /render HTTP/1.1\r\nX-Trace-Id: {id}\r\n{headers}Content-Length: 0\r\n\r\n"));
+    peer
+}
+
+fn done(s: &Scheduler, id: &str) {
+    s.news(&format!(r#"{{"id":"{id}","from":"s-1","state":"done","result":"r"}}"#));
+}
+
+fn status(peer: &mut Peer) -> String {
+    peer.message().0.split(' ').nth(1).unwrap().into()
+}
+
+/// Waits until the figures show this.
+fn shows(s: &Scheduler, part: &str) {
+    let until = Instant::now() + HANG;
+    while !s.call("GET /stats").1.contains(part) {
+        assert!(Instant::now() < until, "{} never shows {part}", s.call("GET /stats").1);
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// The next job that the target gets: its id and its head. The target takes it.
+fn taken(s: &Scheduler, target: &mut Option<Peer>) -> (String, String) {
+    let target = target.get_or_insert_with(|| Peer::new(s.target.accept().unwrap().0));
+    let (_, head, _) = target.message();
+    target.send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    let id = head.split("X-Trace-Id: ").nth(1).unwrap().split("\r\n").next().unwrap().to_string();
+    (id, head)
+}
+
+#[test]
+fn a_job_goes_on_once_the_one_that_it_names_is_served() {
+    let (s, mut target) = (waiting("after", ""), None);
+    let mut second = client(&s, "t2", "X-Start-After: t1\r\n"); // it may come first
+    let mut third = client(&s, "t3", "X-Start-After: t1, t2;any\r\n");
+    shows(&s, r#""held":2"#);
+    let mut first = client(&s, "t1", "");
+    assert_eq!(taken(&s, &mut target).0, "t1");
+    shows(&s, r#""in_flight":3"#);
+    for (id, peer, next) in [("t1", &mut first, "t2"), ("t2", &mut second, "t3")] {
+        done(&s, id);
+        assert_eq!(status(peer), "200");
+        let (id, head) = taken(&s, &mut target);
+        assert!(id == next && !head.contains("X-Start"), "{head}");
+    }
+    done(&s, "t3");
+    assert_eq!(status(&mut third), "200");
+    shows(&s, r#""held":0,"released":2"#);
+    // What has ended is remembered.
+    let mut late = client(&s, "t4", "X-Start-After: t3\r\n");
+    assert_eq!(taken(&s, &mut target).0, "t4");
+    done(&s, "t4");
+    assert_eq!(status(&mut late), "200");
+}
+
+#[test]
+fn what_depends_on_a_refused_job_or_on_a_client_that_left_is_told_at_once() {
+    let mut s = waiting("doomed", r#"grace="30s""#);
+    let held = |s: &Scheduler, id: &str, after: &str| client(s, id, &format!("X-Start-After: {after}\r\n"));
+    let mut direct = held(&s, "t2", "t1");
+    let mut through = held(&s, "t3", "t2");
+    let mut any = held(&s, "t4", "t3;any");
+    shows(&s, r#""held":3"#);
+    s.target = TcpListener::bind("127.0.0.1:0").unwrap(); // the one of the list is closed now
+    assert_eq!(status(&mut client(&s, "t1", "")), "503");
+    assert_eq!((status(&mut direct), status(&mut through)), ("424".into(), "424".into()));
+    // Any answer of t3 will do for t4: it goes on, and is refused in its turn.
+    assert_eq!(status(&mut any), "503");
+    shows(&s, r#""released":1"#);
+    assert_eq!(status(&mut held(&s, "t5", "t4")), "424");
+    // A client that leaves has no answer at all.
+    let left = client(&s, "t6", "X-Start-In: 50000m\r\n");
+    let (mut after, mut whatever) = (held(&s, "t7", "t6"), held(&s, "t8", "t6;any"));
+    shows(&s, r#""held":3"#);
+    left.0.get_ref().shutdown(std::net::Shutdown::Both).unwrap();
+    assert_eq!((status(&mut after), status(&mut whatever)), ("424".into(), "424".into()));
+    shows(&s, r#""held":0"#);
+}
+
+#[test]
+fn what_cannot_be_held_has_its_status_at_once() {
+    let s = waiting("unheld", r#"grace="150ms" most-jobs="2""#);
+    let cases = [
+        ("X-Start-After: a/b\r\n", "400"),
+        ("X-Start-At: tomorrow\r\n", "400"),
+        ("X-Start-In: 900m\r\nX-Expires-In: 800m\r\n", "400"),
+        ("X-Start-At: 2999-01-01T00:00:00Z\r\n", "400"),
+        ("X-Start-After: t1\r\n", "409"),
+        ("X-Start-After: unknown\r\n", "424"),
+    ];
+    for (headers, expected) in cases {
+        assert_eq!(status(&mut client(&s, "t1", headers)), expected, "{headers}");
+    }
+    let one = client(&s, "a", "X-Start-In: 50000m\r\n");
+    shows(&s, r#""held":1"#);
+    assert_eq!(status(&mut client(&s, "a", "")), "409"); // an id that is held is taken
+    let _two = client(&s, "b", "X-Start-After: a\r\n");
+    shows(&s, r#""held":2"#);
+    assert_eq!(status(&mut client(&s, "c", "X-Start-In: 50000m\r\n")), "503");
+    // A circle: the one that closes it is told, and those behind it get theirs.
+    one.0.get_ref().shutdown(std::net::Shutdown::Both).unwrap();
+    shows(&s, r#""held":0"#);
+    let mut first = client(&s, "x", "X-Start-After: y\r\n");
+    shows(&s, r#""held":1"#);
+    assert_eq!(status(&mut client(&s, "y", "X-Start-After: x\r\n")), "409");
+    assert_eq!(status(&mut first), "424");
+}
+
+#[test]
+fn a_job_starts_no_earlier_than_its_time() {
+    let (s, mut target) = (waiting("time", ""), None);
+    let begun = Instant::now();
+    let mut peer = client(&s, "t1", "X-Start-In: 300m\r\n");
+    assert_eq!(taken(&s, &mut target).0, "t1");
+    assert!(begun.elapsed() >= Duration::from_millis(299));
+    done(&s, "t1");
+    assert_eq!(status(&mut peer), "200");
+    // A time that is over is no wait.
+    let mut peer = client(&s, "t2", "X-Start-At: 2001-01-01T00:00:00Z\r\n");
+    assert_eq!(taken(&s, &mut target).0, "t2");
+    done(&s, "t2");
+    assert_eq!(status(&mut peer), "200");
+}
+
+#[test]
+fn without_a_setup_file_the_headers_mean_nothing_and_go_on_to_the_target() {
+    let (s, mut target) = (Scheduler::start("nowait"), None);
+    let mut peer = client(&s, "t1", "X-Start-After: nobody\r\nX-Start-In: never\r\n");
+    let (id, head) = taken(&s, &mut target);
+    assert!(id == "t1" && head.contains("X-Start-After: nobody\r\nX-Start-In: never\r\n"));
+    done(&s, "t1");
+    assert_eq!(status(&mut peer), "200");
+    assert!(!s.call("GET /stats").1.contains("held"));
+}
+
+#[test]
+fn on_the_way_out_what_is_held_is_refused_at_once_and_what_runs_goes_on() {
+    let (mut s, mut target) = (waiting("wayout", ""), None);
+    let mut runs = client(&s, "t1", "");
+    assert_eq!(taken(&s, &mut target).0, "t1");
+    let mut held: Vec<Peer> =
+        (2..10).map(|n| client(&s, &format!("t{n}"), "X-Start-After: t1\r\n")).collect();
+    shows(&s, r#""held":8"#);
+    s.signal("-TERM");
+    held.iter_mut().for_each(|peer| assert_eq!(status(peer), "503"));
+    done(&s, "t1");
+    assert_eq!(status(&mut runs), "200");
+    assert!(s.process.wait().unwrap().success());
+}
+
+#[test]
+fn an_upgrade_takes_over_what_is_held_with_what_it_waits_for() {
+    let setup = setup("upgrade-held", "<postusher><waiting/></postusher>");
+    let (mut old, mut target) = (Scheduler::upgradable_with("upgrade-held", 40, Some(setup)), None);
+    let mut ended = client(&old, "t0", "");
+    assert_eq!(taken(&old, &mut target).0, "t0");
+    done(&old, "t0");
+    assert_eq!(status(&mut ended), "200");
+    let mut first = client(&old, "t1", "");
+    assert_eq!(taken(&old, &mut target).0, "t1");
+    let mut second = client(&old, "t2", "X-Start-After: t1, t0\r\n");
+    let mut timed = client(&old, "t3", "X-Start-In: 700m\r\n");
+    shows(&old, r#""held":2"#);
+    let (new, _watches) = old.upgraded();
+    // Jobs that come to the new process may name those of the old one, and those that ended there.
+    let mut third = client(&new, "t4", "X-Start-After: t1, t0\r\n");
+    shows(&new, r#""held":1"#);
+    old.signal("-TERM");
+    assert!(old.process.wait().unwrap().success());
+    shows(&new, r#""held":"#);
+    done(&new, "t1");
+    assert_eq!(status(&mut first), "200");
+    let mut ids: Vec<String> = Vec::new();
+    for _ in 0..3 {
+        // Two go on at once, each on a connection of its own.
+        let (id, _) = taken(&new, &mut None);
+        done(&new, &id);
+        ids.push(id);
+    }
+    ids.sort();
+    assert_eq!(ids, ["t2", "t3", "t4"]);
+    for peer in [&mut second, &mut timed, &mut third] {
+        assert_eq!(status(peer), "200");
+    }
+    shows(&new, r#""held":0,"released":3"#);
+}
+
+#[test]
+fn sighup_takes_over_other_bounds_and_a_bad_setup_changes_nothing() {
+    let mut s = waiting("sighup", r#"most-jobs="1""#);
+    let _held = client(&s, "t1", "X-Start-In: 50000m\r\n");
+    shows(&s, r#""held":1"#);
+    assert_eq!(status(&mut client(&s, "t2", "X-Start-In: 50000m\r\n")), "503");
+    setup("sighup", "<postusher>\n<waiting most-jobs=\"many\"/></postusher>");
+    s.signal("-HUP");
+    s.logs("sighup.xml:2:21: most-jobs=\"many\" cannot be read");
+    assert_eq!(status(&mut client(&s, "t2", "X-Start-In: 50000m\r\n")), "503");
+    setup("sighup", "<postusher><waiting most-jobs=\"2\"/></postusher>");
+    s.signal("-HUP");
+    s.logs("SIGHUP: discovery at");
+    let _second = client(&s, "t3", "X-Start-In: 50000m\r\n");
+    shows(&s, r#""held":2"#);
+    setup("sighup", "<postusher/>");
+    s.signal("-HUP");
+    s.logs("only a restart takes over another <waiting>");
+    shows(&s, r#""held":2"#);
+}
+
+#[test]
+fn a_check_names_every_mistake_and_serve_does_not_start_with_one() {
+    let check = |path: &Path| {
+        let output = Command::new(env!("CARGO_BIN_EXE_postusher")).arg("check").arg(path).output().unwrap();
+        (output.status.code(), String::from_utf8(output.stderr).unwrap(), output.stdout)
+    };
+    let bad = setup("bad", "<postusher>\n<waiting grace=\"5\" x=\"1\"/></postusher>");
+    let (code, said, _) = check(&bad);
+    assert!(code == Some(1) && said.contains("bad.xml:2:17: ") && said.contains("bad.xml:2:20: "), "{said}");
+    let (code, _, said) = check(&setup("good", "<postusher><waiting/></postusher>"));
+    assert!(code == Some(0) && String::from_utf8(said).unwrap().contains("good"));
+    let unknown =
+        setup("unknown", "<postusher><waiting><weight class=\"gold\" value=\"1\"/></waiting></postusher>");
+    let any = SocketAddr::from(([127, 0, 0, 1], 9));
+    let config = config("unknown", any, any, 1);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_postusher"));
+    let output =
+        command.arg("serve").arg("--config").arg(config).arg("--setup").arg(unknown).output().unwrap();
+    let said = String::from_utf8(output.stderr).unwrap();
+    assert!(
+        output.status.code() == Some(1) && said.contains("there is no class \"gold\"; there are render"),
+        "{said}"
+    );
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -225,6 +225,17 @@
     pub strikes: u32,
 }
 
+/// Slots of the fleet at which a job would start at once, as far as is known here.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Vacancy {
+    /// Free ones.
+    pub free: u32,
+    /// All that are in service, free ones included.
+    pub total: u32,
+    /// The most free ones at a single worker.
+    pub widest: u32,
+}
+
 /// An attempt that another process has made.
 #[derive(Clone, Debug)]
 pub struct Begun {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -224,7 +224,7 @@
     }
 
     /// Slots where a job would start at once; below 0 when some wait already.
-    fn room(&self, w: &Worker) -> i64 {
+    pub(crate) fn room(&self, w: &Worker) -> i64 {
         let queues = self.warmth(w) >= 1.0 && !w.on_trial();
         (if queues { self.ours(w) } else { self.count(w) }) - w.held
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -716,6 +716,18 @@
         w.ready() && !self.taken_out.contains(&w.member.worker)
     }
 
+    /// What the fleet has room for now. Costs time in proportion to the number of workers.
+    pub fn vacancy(&self) -> Vacancy {
+        let mut sum = Vacancy::default();
+        for (id, w) in self.workers.iter().filter(|(_, w)| self.takes(w) && !w.ejected()) {
+            let free = self.room(w).clamp(0, self.bucket.free(*id)) as u32;
+            sum.free += free;
+            sum.total += free + w.held.max(0) as u32;
+            sum.widest = sum.widest.max(free);
+        }
+        sum
+    }
+
     /// Tokens of a worker, for dashboards and tests: those in the bucket and those held by attempts.
     pub fn tokens(&self, worker: WorkerId) -> (usize, usize) {
         let held = self.workers.get(&worker).map_or(0, |w| w.held.max(0) as usize);
