A laboratory around the real program: workers, discovery, clients, faults, rules, reports

Stand-in workers (a machine without sockets behind a front), discovery with watches, open-loop clients with jobs drawn from a seed, faults from a scenario, and seven rules checked from the peers' side only; reports as JSON and as a page with plots. It shares no code with the program. Also: held jobs give way for 100 ms after a fresh job was refused.

Planted between scheduler and clients: answers doubled, waits made blind, results changed; the checker finds each.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,27 @@
 # Build, test, lint and run; .ci/run calls these.
 
-.PHONY: build test lint run fmt
+.PHONY: build test lint run fmt demo lab bench
 
 build:
 	cargo build --release --locked
 
+# A newcomer's first command: a scheduler with a fleet around it, a minute of jobs, a report.
+demo:
+	@cargo build --profile lab --locked --quiet -p postusher-node -p postusher-lab
+	@target/lab/postusher-lab run lab/scenarios/demo.toml --out target/demo
+
+# make lab SCENARIO=lab/scenarios/waiting.toml SEED=1 OUT=target/report
+SEED ?= 1
+OUT ?= target/report
+lab:
+	cargo build --profile lab --locked -p postusher-node -p postusher-lab
+	target/lab/postusher-lab run "$(SCENARIO)" --seed $(SEED) --out "$(OUT)"
+
+# How the waiting room's costs grow; by hand, as figures of a busy machine mean nothing.
+bench:
+	cargo bench --locked -p postusher-waiting
+	cargo run --release --locked --quiet -p postusher-waiting --example memory
+
 test:
 	cargo test --workspace --locked
 
--- /dev/null
+++ b/lab/src/faults.rs
@@ -0,0 +1,98 @@
+//! Faults of a scenario, each at its time.
+
+use crate::bench::Stage;
+use crate::journal::Seen;
+use crate::scenario::{Fault, Kind};
+use crate::workers::name;
+use anyhow::{Context, Result};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Plays all faults; ends with the last.
+///
+/// # Errors
+/// A scheduler does not come back.
+pub async fn play(stage: Arc<Stage>, faults: Vec<Fault>) -> Result<()> {
+    let mut all = tokio::task::JoinSet::new();
+    for fault in faults {
+        let stage = stage.clone();
+        all.spawn(async move {
+            tokio::time::sleep_until(stage.journal.moment(fault.at_s * 1e3).into()).await;
+            let what = format!("{:?} {:?}", fault.kind, fault.who).to_lowercase();
+            tracing::info!(at_s = fault.at_s, "{what}");
+            stage.journal.write(Seen::Fault { what: what.clone() });
+            one(&stage, &fault).await.with_context(|| format!("{what} at {} s", fault.at_s))
+        });
+    }
+    while let Some(ended) = all.join_next().await {
+        ended??;
+    }
+    Ok(())
+}
+
+async fn one(stage: &Stage, fault: &Fault) -> Result<()> {
+    let lasts = Duration::from_secs_f64(fault.for_s);
+    let workers = || fault.who.iter().filter_map(|n| stage.workers.get(*n));
+    match fault.kind {
+        Kind::Crash => {
+            workers().for_each(|w| w.die());
+            tokio::time::sleep(lasts).await;
+            for w in workers() {
+                w.revive();
+                stage.discovery.started(w.number);
+            }
+        }
+        Kind::Drain => {
+            fault.who.iter().for_each(|n| stage.discovery.drain(*n, true));
+            tokio::time::sleep(lasts).await;
+            fault.who.iter().for_each(|n| stage.discovery.drain(*n, false));
+        }
+        Kind::Maint => {
+            for n in &fault.who {
+                stage.call_all(&format!("PUT /workers/{}/maint", name(*n))).await;
+            }
+            tokio::time::sleep(lasts).await;
+            for n in &fault.who {
+                stage.call_all(&format!("PUT /workers/{}/ready", name(*n))).await;
+            }
+        }
+        Kind::Discovery => {
+            stage.discovery.set_down(true);
+            tokio::time::sleep(lasts).await;
+            stage.discovery.set_down(false);
+        }
+        Kind::Kill | Kind::Term | Kind::Upgrade | Kind::Reload => {
+            for n in &fault.who {
+                let Some(scheduler) = stage.schedulers.get(*n) else { continue };
+                let mut scheduler = scheduler.lock().await;
+                match fault.kind {
+                    Kind::Kill => scheduler.kill(&stage.scenario).await?,
+                    Kind::Upgrade => scheduler.upgrade(&stage.scenario).await?,
+                    Kind::Reload => scheduler.reload()?,
+                    _ => {
+                        scheduler.terminate().await?;
+                        scheduler.start(&stage.scenario).await?;
+                    }
+                }
+            }
+        }
+        Kind::Hang | Kind::Slow | Kind::Refuse | Kind::Break | Kind::Twice | Kind::Late => {
+            let set = |on: bool| {
+                for w in workers() {
+                    w.behave(|manners, machine| match fault.kind {
+                        Kind::Hang => machine.hangs = on,
+                        Kind::Slow => machine.slower = if on { fault.factor } else { 1.0 },
+                        Kind::Refuse => manners.refuses = on,
+                        Kind::Break => manners.breaks = on,
+                        Kind::Twice => manners.twice = on,
+                        _ => manners.late = on,
+                    });
+                }
+            };
+            set(true);
+            tokio::time::sleep(lasts).await;
+            set(false);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/lab/src/workers.rs
@@ -0,0 +1,322 @@
+//! Stand-in workers: a machine each, behind a listener for each scheduler. A job is taken with 202; what becomes of it
+//! is told by calls to the scheduler that sent it.
+
+use crate::journal::{Journal, Seen};
+use crate::machine::{Machine, Taken, Work};
+use crate::plan::Plan;
+use crate::scenario::Scenario;
+use crate::wire::{self, Line, Wire};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// A machine's time goes in steps of this many milliseconds.
+const STEP: f64 = 2.0;
+/// A call with news is tried so often, with this time between.
+const TRIES: usize = 10;
+const BETWEEN: Duration = Duration::from_millis(100);
+/// Progress is told so often, in milliseconds.
+const PROGRESS: f64 = 1_000.0;
+
+/// How a worker misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Manners {
+    /// Its process does not run.
+    pub dead: bool,
+    /// It turns everything away, unseen.
+    pub refuses: bool,
+    /// It breaks connections before its word that it has a job.
+    pub breaks: bool,
+    /// It tells everything twice.
+    pub twice: bool,
+    /// It tells everything a second late.
+    pub late: bool,
+}
+
+struct Inside {
+    machine: Machine,
+    manners: Manners,
+    /// Who sent a job, by number.
+    from: HashMap<String, usize>,
+    /// Its process's number: what an earlier one had is gone.
+    life: u64,
+}
+
+/// A worker.
+pub struct Worker {
+    /// Its number.
+    pub number: usize,
+    inside: Mutex<Inside>,
+    /// Rises with each death; connections of earlier lives end.
+    lives: watch::Sender<u64>,
+    /// Where schedulers are told, by their numbers.
+    schedulers: Vec<SocketAddr>,
+    /// Where it listens for each scheduler.
+    pub addrs: Vec<SocketAddr>,
+    plan: Arc<Plan>,
+    journal: Journal,
+}
+
+/// The name by which discovery and schedulers know a worker.
+pub fn name(number: usize) -> String {
+    format!("w-{number:04}")
+}
+
+impl Worker {
+    /// Starts one: a listener for each scheduler, and its machine.
+    ///
+    /// # Errors
+    /// No address could be had.
+    pub async fn start(
+        number: usize,
+        scenario: &Scenario,
+        schedulers: Vec<SocketAddr>,
+        plan: Arc<Plan>,
+        journal: Journal,
+    ) -> std::io::Result<Arc<Worker>> {
+        let f = &scenario.fleet;
+        let machine = Machine::new(f.slots, f.queue, scenario.speed_of(number), f.cold_from, f.warm_ms);
+        let inside = Inside { machine, manners: Manners::default(), from: HashMap::new(), life: 0 };
+        let (mut addrs, mut listeners) = (Vec::new(), Vec::new());
+        for _ in &schedulers {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            addrs.push(listener.local_addr()?);
+            listeners.push(listener);
+        }
+        let (lives, _) = watch::channel(0);
+        let worker =
+            Arc::new(Worker { number, inside: Mutex::new(inside), lives, schedulers, addrs, plan, journal });
+        for (scheduler, listener) in listeners.into_iter().enumerate() {
+            tokio::spawn(worker.clone().listen(scheduler, listener));
+        }
+        tokio::spawn(worker.clone().run());
+        Ok(worker)
+    }
+
+    fn inside(&self) -> MutexGuard<'_, Inside> {
+        match self.inside.lock() {
+            Ok(inside) => inside,
+            Err(poisoned) => poisoned.into_inner(), // a panic elsewhere; the run fails by that
+        }
+    }
+
+    /// Changes how it behaves.
+    pub fn behave(&self, change: impl FnOnce(&mut Manners, &mut Machine)) {
+        let Inside { manners, machine, .. } = &mut *self.inside();
+        change(manners, machine);
+    }
+
+    /// Its process dies: connections break, and what it had is lost.
+    pub fn die(&self) {
+        self.journal.write(Seen::Died { worker: self.number });
+        let mut inside = self.inside();
+        inside.machine.crash(self.journal.now());
+        inside.manners = Manners { dead: true, ..Manners::default() };
+        inside.life += 1;
+        // Whoever watches over the machine tells of what was lost.
+        let lost: Vec<(String, usize)> = inside.from.drain().collect();
+        let life = inside.life;
+        drop(inside);
+        self.lives.send_replace(life);
+        for (job, scheduler) in lost {
+            self.tell(
+                scheduler,
+                format!(r#"{{"id":"{job}","from":"{}","state":"lost"}}"#, name(self.number)),
+            );
+        }
+    }
+
+    /// It starts again, cold.
+    pub fn revive(&self) {
+        self.journal.write(Seen::Started { worker: self.number });
+        let mut inside = self.inside();
+        inside.machine.crash(self.journal.now());
+        inside.manners = Manners::default();
+    }
+
+    async fn listen(self: Arc<Worker>, scheduler: usize, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (dead, life) = {
+                let inside = self.inside();
+                (inside.manners.dead, inside.life)
+            };
+            if dead {
+                continue; // the connection ends here
+            }
+            let (worker, mut lives) = (self.clone(), self.lives.subscribe());
+            tokio::spawn(async move {
+                tokio::select! {
+                    _ = worker.serve(scheduler, Wire::new(stream)) => {}
+                    _ = lives.wait_for(|now| *now != life) => {}
+                }
+            });
+        }
+    }
+
+    async fn serve(&self, scheduler: usize, mut wire: Wire) {
+        while let Ok(Some(message)) = wire.message().await {
+            let Line::Request(method, path) = &message.line else { return };
+            let answer = match (method.as_str(), path.as_str()) {
+                ("POST", _) => match self.brought(scheduler, &message) {
+                    Some(answer) => answer,
+                    None => return,
+                },
+                ("DELETE", path) => {
+                    let id = path.strip_prefix("/jobs/").unwrap_or("");
+                    self.inside().machine.give_up(id);
+                    wire::answer(200, &[], b"")
+                }
+                ("GET", "/metrics/load") => {
+                    let report = self.report();
+                    wire::answer(200, &[], format!("TEXT {report}").as_bytes())
+                }
+                ("GET", "/alive") => wire::answer(200, &[], b""),
+                _ => wire::answer(404, &[], b""),
+            };
+            if wire.send(&answer).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Its load, as reports have it.
+    fn report(&self) -> String {
+        let inside = self.inside();
+        format!("inflight={}, x0={}", inside.machine.jobs().0, inside.machine.free())
+    }
+
+    /// A job is brought; `None`: the connection breaks.
+    fn brought(&self, scheduler: usize, message: &wire::Message) -> Option<Vec<u8>> {
+        let (number, id) = (self.number, message.header("X-Trace-Id").unwrap_or("").to_string());
+        let write = |status, may_run| {
+            self.journal.write(Seen::Got { job: id.clone(), worker: number, scheduler, status, may_run });
+        };
+        let Some(job) = self.plan.get(&id) else {
+            write(404, false);
+            return Some(wire::answer(404, &[], b""));
+        };
+        let mut inside = self.inside();
+        if inside.manners.refuses {
+            drop(inside);
+            write(503, false);
+            return Some(wire::answer(503, &[("X-Never-Ran", "1")], b""));
+        }
+        let breaks = inside.manners.breaks;
+        let work = Work { id: id.clone(), slots: job.slots, left: job.work };
+        let taken = inside.machine.bring(work);
+        if taken == Taken::Yes {
+            inside.from.insert(id.clone(), scheduler);
+        }
+        drop(inside);
+        match taken {
+            Taken::Yes if breaks => {
+                write(0, true);
+                None
+            }
+            Taken::Yes => {
+                write(202, true);
+                Some(wire::answer(202, &[], b""))
+            }
+            // It is here: the one of before goes on.
+            Taken::Twice => {
+                write(202, true);
+                Some(wire::answer(202, &[], b""))
+            }
+            Taken::Full => {
+                write(503, false);
+                Some(wire::answer(503, &[("X-Never-Ran", "1")], b""))
+            }
+        }
+    }
+
+    /// The machine at work, for as long as the lab lives.
+    async fn run(self: Arc<Worker>) {
+        let mut ticks = tokio::time::interval(Duration::from_secs_f64(STEP / 1e3));
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+        let (mut told, mut load) = (0.0, (0, 0));
+        loop {
+            ticks.tick().await;
+            let now = self.journal.now();
+            let mut inside = self.inside();
+            if inside.manners.dead {
+                continue;
+            }
+            let (begun, done) = inside.machine.advance(now);
+            let progress = now - told >= PROGRESS;
+            told = if progress { now } else { told };
+            let hangs = inside.machine.hangs;
+            let from = |inside: &Inside, id: &str| inside.from.get(id).copied();
+            let begun: Vec<_> = begun.into_iter().filter_map(|id| Some((from(&inside, &id)?, id))).collect();
+            let done: Vec<_> =
+                done.into_iter().filter_map(|id| Some((inside.from.remove(&id)?, id))).collect();
+            let running: Vec<_> = match progress && !hangs {
+                true => inside.from.iter().map(|(id, s)| (*s, id.clone())).collect(),
+                false => Vec::new(),
+            };
+            let (_, queue) = inside.machine.jobs();
+            let now_load = (inside.machine.in_use(), queue);
+            drop(inside);
+            if now_load != load {
+                load = now_load;
+                self.journal.write(Seen::Load { worker: self.number, slots: load.0, queue: load.1 });
+            }
+            let from = name(self.number);
+            for (scheduler, id) in running {
+                self.tell(
+                    scheduler,
+                    format!(r#"{{"id":"{id}","from":"{from}","state":"running","share":0.5}}"#),
+                );
+            }
+            for (scheduler, id) in begun {
+                self.journal.write(Seen::Begun { job: id.clone(), worker: self.number });
+                self.tell(scheduler, format!(r#"{{"id":"{id}","from":"{from}","state":"started"}}"#));
+            }
+            for (scheduler, id) in done {
+                self.journal.write(Seen::Done { job: id.clone(), worker: self.number });
+                let load = self.report().replace("inflight=", r#""inflight":"#).replace("x0=", r#""x0":"#);
+                let result = result_of(&id);
+                let news = format!(
+                    r#"{{"id":"{id}","from":"{from}","state":"done","result":"{result}","load":{{{load}}}}}"#
+                );
+                self.tell(scheduler, news);
+            }
+        }
+    }
+
+    /// Tells a scheduler something, again and again until it has an answer.
+    fn tell(&self, scheduler: usize, body: String) {
+        let manners = self.inside().manners;
+        let Some(addr) = self.schedulers.get(scheduler).copied() else { return };
+        tokio::spawn(async move {
+            if manners.late {
+                tokio::time::sleep(Duration::from_secs(1)).await;
+            }
+            for _ in 0..=usize::from(manners.twice) {
+                for _ in 0..TRIES {
+                    match call(addr, &body).await {
+                        Ok(200 | 204 | 400) => break,
+                        _ => tokio::time::sleep(BETWEEN).await,
+                    }
+                }
+            }
+        });
+    }
+}
+
+/// What a worker makes of a job.
+pub fn result_of(id: &str) -> String {
+    format!("made for {id}")
+}
+
+async fn call(addr: SocketAddr, body: &str) -> std::io::Result<u16> {
+    let exchange = async {
+        let mut wire = Wire::new(TcpStream::connect(addr).await?);
+        let headers = [("Host", "s"), ("Connection", "close")];
+        wire.send(&wire::message("POST /_jobs/news HTTP/1.1\r\n", &headers, body.as_bytes())).await?;
+        Ok(wire.message().await?.map_or(0, |m| m.status()))
+    };
+    tokio::time::timeout(Duration::from_secs(2), exchange).await?
+}
--- /dev/null
+++ b/lab/tests/runs.rs
@@ -0,0 +1,136 @@
+//! The real program in the laboratory, in short seeded runs; and faults planted between it and its clients, which the
+//! checker must find. Needs the program to be built: `cargo test --workspace` does that.
+
+use postusher_lab::bench::{beside, play, Options, Run};
+use postusher_lab::report::report;
+use postusher_lab::rules::{check, Rule};
+use postusher_lab::scenario::Scenario;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+fn scenario(name: &str) -> Scenario {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios").join(name);
+    Scenario::load(&path).unwrap()
+}
+
+fn out(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(name)
+}
+
+fn run(name: &str, scenario: &Scenario, between: Option<fn(SocketAddr) -> SocketAddr>) -> Run {
+    let binary = beside("postusher").unwrap();
+    assert!(binary.exists(), "build the program first: cargo build -p postusher-node");
+    let options = Options { binary, out: out(name), seed: 1, between };
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
+    runtime.block_on(play(scenario, &options, |_| {})).unwrap()
+}
+
+/// Plays a scenario; no rule may be broken and most jobs are served.
+fn keeps_all_rules(name: &str) {
+    let run = run(name, &scenario(name), None);
+    let report = report(&run, 1, check(&run)).unwrap();
+    let said = report.lines().join("\n");
+    postusher_lab::report::write(&report, &out(name)).unwrap();
+    assert!(report.breaches.is_empty(), "{said}");
+    assert_eq!(report.answers, [1, 1], "{said}");
+    let served: usize = report.classes.values().map(|c| c.served).sum();
+    assert!(served * 2 > report.jobs && report.jobs > 300, "{said}");
+    assert!(report.waiting.served > 50, "{said}");
+    let page = std::fs::read_to_string(out(name).join("report.html")).unwrap();
+    assert!(page.contains("All rules are kept") && page.matches("<svg").count() == 4);
+}
+
+#[test]
+fn jobs_wait_through_crashes_a_cold_restart_and_an_hour_that_comes_for_many() {
+    keeps_all_rules("waiting.toml");
+}
+
+#[test]
+fn jobs_wait_through_all_that_workers_can_do() {
+    keeps_all_rules("sick.toml");
+}
+
+#[test]
+fn jobs_wait_through_an_upgrade_and_a_restart_and_those_of_a_killed_scheduler_are_excused() {
+    keeps_all_rules("restarts.toml");
+}
+
+/// Passes connections on, with what comes from clients and from the scheduler changed on the way.
+fn proxy(to: SocketAddr, ask: fn(&[u8]) -> Vec<u8>, answer: fn(&[u8]) -> Vec<u8>) -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let listener = TcpListener::from_std(listener).unwrap();
+    tokio::spawn(async move {
+        while let Ok((client, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let Ok(server) = TcpStream::connect(to).await else { return };
+                let ((from_client, to_client), (from_server, to_server)) =
+                    (client.into_split(), server.into_split());
+                let up = tokio::spawn(pass(from_client, to_server, ask));
+                pass(from_server, to_client, answer).await;
+                up.abort();
+            });
+        }
+    });
+    addr
+}
+
+async fn pass(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    change: fn(&[u8]) -> Vec<u8>,
+) {
+    let mut bytes = vec![0; 64 * 1024];
+    while let Ok(n) = from.read(&mut bytes).await {
+        if n == 0 || to.write_all(&change(&bytes[..n])).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn same(bytes: &[u8]) -> Vec<u8> {
+    bytes.to_vec()
+}
+
+/// The scenario of the planted faults: short, with nothing going wrong by itself.
+fn quiet() -> Scenario {
+    let mut quiet = scenario("sick.toml");
+    quiet.fault.clear();
+    (quiet.seconds, quiet.load) = (3.0, 0.3);
+    quiet
+}
+
+#[test]
+fn the_checker_finds_a_scheduler_that_answers_twice() {
+    let run = run("planted-twice", &quiet(), Some(|to| proxy(to, same, |b| [b, b].concat())));
+    let breaches = check(&run);
+    assert!(breaches.iter().any(|b| b.rule == Rule::OneAnswer && b.count > 20), "{breaches:?}");
+}
+
+/// The words by which clients ask for a wait come through as others that mean nothing.
+fn blind(bytes: &[u8]) -> Vec<u8> {
+    String::from_utf8_lossy(bytes).replace("X-Start-", "X-Blind-").into_bytes()
+}
+
+#[test]
+fn the_checker_finds_a_scheduler_that_lets_jobs_go_too_early() {
+    let run = run("planted-early", &quiet(), Some(|to| proxy(to, blind, same)));
+    let breaches = check(&run);
+    assert!(breaches.iter().any(|b| b.rule == Rule::Early && b.count > 5), "{breaches:?}");
+}
+
+#[test]
+fn the_checker_finds_a_result_that_nobody_made() {
+    let run = run(
+        "planted-result",
+        &quiet(),
+        Some(|to| {
+            proxy(to, same, |b| String::from_utf8_lossy(b).replace("made for", "Made for").into_bytes())
+        }),
+    );
+    let breaches = check(&run);
+    assert!(breaches.iter().any(|b| b.rule == Rule::OwnResult && b.count > 20), "{breaches:?}");
+}
--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -545,6 +545,7 @@
                     if r.held {
                         return;
                     }
+                    self.waiting.crowded(now);
                 }
                 self.answer(job, Answer::Refused { retry_after: retry_after as f64 / 1e3 }, now);
             }
--- a/node/src/waiting.rs
+++ b/node/src/waiting.rs
@@ -208,6 +208,13 @@
         self.0.as_mut().is_some_and(|room| room.turned_away(id(job), now))
     }
 
+    /// The module has turned away a job that never waited.
+    pub fn crowded(&mut self, now: Millis) {
+        if let Some(room) = &mut self.0 {
+            room.crowded(now);
+        }
+    }
+
     /// When [`Waiting::release`] has something to do by time alone.
     pub fn next_due(&self, now: Millis) -> Option<Millis> {
         self.0.as_ref()?.next_due(now)
--- a/waiting/src/pace.rs
+++ b/waiting/src/pace.rs
@@ -16,6 +16,8 @@
 /// After a job was turned away all rest so long. The fleet's count of its room is seconds old at worst, so this is
 /// only to keep a loop from spinning.
 const REST: Millis = 20.0;
+/// After a job at the door was refused, those from here stay back so long.
+const GIVES_WAY: Millis = 100.0;
 /// A job that was turned away rests so long the first time, twice as long each time after that ...
 const FIRST_REST: Millis = 20.0;
 /// ... up to this.
@@ -71,6 +73,12 @@
         self.rests_until = now + REST;
     }
 
+    /// A job that waits for nothing was refused for want of room.
+    pub fn crowded(&mut self, now: Millis) {
+        (self.window, self.tried) = (1, false);
+        self.rests_until = self.rests_until.max(now + GIVES_WAY);
+    }
+
     /// How long a job rests after it was turned away so many times.
     pub fn rest(times: u32) -> Millis {
         (FIRST_REST * f64::from(1u32 << (times.max(1) - 1).min(8))).min(LONGEST_REST)
--- a/waiting/src/room.rs
+++ b/waiting/src/room.rs
@@ -446,6 +446,12 @@
         true
     }
 
+    /// A job that waits for nothing was refused for want of room: what is held gives way for a moment, so that a backlog
+    /// does not crowd out what comes to the door. The bounds of the wait hold all the same.
+    pub fn crowded(&mut self, now: Millis) {
+        self.pace.crowded(now);
+    }
+
     /// What another process needs to go on holding a job; `None` if it is not held.
     pub fn parcel(&self, id: JobId, now: Millis) -> Option<(Wish, Carried)> {
         let job = self.jobs.get(&id).filter(|j| j.state != State::Out)?;
