Import Apache balancer and mod_jk files into a setup, with an account of each parameter

The setup file knows pools now, with the schema; serve says no to them until it can answer for them.

--- /dev/null
+++ b/import/src/apache/mod.rs
@@ -0,0 +1,22 @@
+//! Apache's configuration: syntax, what it includes, and what its balancers become.
+
+pub mod expand;
+pub mod syntax;
+mod translate;
+mod units;
+
+use crate::account::Unreadable;
+use crate::ajp::Ajp;
+use crate::files::Files;
+use crate::Imported;
+
+/// Imports files, in order, as one configuration.
+///
+/// # Errors
+/// A file cannot be read, or is no Apache configuration.
+pub fn import(names: &[String], files: &dyn Files, ajp: &Ajp) -> Result<Imported, Unreadable> {
+    let expanded = expand::expand(names, files)?;
+    let mut imported = translate::translate(expanded, ajp);
+    imported.account.sort();
+    Ok(imported)
+}
--- /dev/null
+++ b/import/tests/samples.rs
@@ -0,0 +1,116 @@
+//! Every sample is imported; its setup and its account are kept word for word, and the setup reads back as what was
+//! meant.
+
+use postusher_import::files::{Disk, Files, InMemory};
+use postusher_import::{apache, mod_jk, Ajp, Imported, Unreadable};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+fn samples() -> Vec<PathBuf> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("samples");
+    let mut all: Vec<PathBuf> = std::fs::read_dir(folder).unwrap().map(|e| e.unwrap().path()).collect();
+    all.sort();
+    assert!(all.len() >= 25);
+    all
+}
+
+/// A sample's files, under short names.
+fn files(folder: &Path) -> InMemory {
+    let mut all = BTreeMap::new();
+    let mut next = vec![folder.to_path_buf()];
+    while let Some(at) = next.pop() {
+        for entry in std::fs::read_dir(at).unwrap() {
+            let path = entry.unwrap().path();
+            if path.is_dir() {
+                next.push(path);
+            } else {
+                let name = path.strip_prefix(folder).unwrap().to_string_lossy().into_owned();
+                all.insert(name, std::fs::read_to_string(&path).unwrap());
+            }
+        }
+    }
+    InMemory(all)
+}
+
+fn ajp(files: &InMemory) -> Ajp {
+    let mut ajp = Ajp::default();
+    for line in files.read("options").unwrap_or_default().lines() {
+        match line.split_once(' ').unwrap() {
+            ("--ajp-as-http", value) => ajp.address(value).unwrap(),
+            (_, value) => ajp.port(value).unwrap(),
+        }
+    }
+    ajp
+}
+
+fn import(folder: &Path) -> Result<Imported, Unreadable> {
+    let files = files(folder);
+    let ajp = ajp(&files);
+    match files.0.contains_key("httpd.conf") {
+        true => apache::import(&["httpd.conf".to_string()], &files, &ajp),
+        false => {
+            let map = "uriworkermap.properties";
+            let map = files.0.contains_key(map).then_some(map);
+            mod_jk::import("workers.properties", map, &files, &ajp)
+        }
+    }
+}
+
+#[test]
+fn each_sample_becomes_its_setup_with_its_account() {
+    for folder in samples() {
+        let name = folder.file_name().unwrap().to_string_lossy().into_owned();
+        let said = match import(&folder) {
+            Ok(imported) => {
+                assert_eq!(import(&folder).unwrap(), imported, "{name}: other bytes the second time");
+                let setup = imported.setup();
+                let read = postusher_setup::read(&setup).unwrap_or_else(|m| panic!("{name}: {m:?}\n{setup}"));
+                assert_eq!(read.pools, imported.pools, "{name}");
+                format!("{setup}\n{}", imported.account)
+            }
+            Err(unreadable) => format!("unreadable: {unreadable}\n"),
+        };
+        insta::assert_snapshot!(name, said);
+    }
+}
+
+#[test]
+fn no_worker_that_was_disabled_comes_across_as_live() {
+    let all = |name: &str| {
+        let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("samples").join(name);
+        let pools = import(&folder).unwrap().pools;
+        let states = pools[0].workers.iter().map(|w| format!("{:?}", w.state));
+        states.collect::<Vec<_>>().join(" ")
+    };
+    assert_eq!(all("apache-disabled"), "Draining Live Draining Stopped Live");
+    assert_eq!(all("mod_jk-states"), "Live Draining Stopped Draining");
+}
+
+#[test]
+fn ten_thousand_members_are_imported_whole() {
+    let mut text = String::from("<Proxy balancer://big>\n");
+    for n in 0..10_000 {
+        text += &format!(
+            "BalancerMember http://10.{}.{}.{}:80 loadfactor={}\n",
+            n >> 16,
+            n >> 8 & 255,
+            n & 255,
+            1 + n % 9
+        );
+    }
+    text += "</Proxy>\nProxyPass / balancer://big/\n";
+    let files = InMemory([("big.conf".to_string(), text)].into());
+    let imported = apache::import(&["big.conf".to_string()], &files, &Ajp::default()).unwrap();
+    assert_eq!((imported.pools.len(), imported.pools[0].workers.len()), (1, 10_000));
+    assert!(!imported.account.lacks());
+}
+
+#[test]
+fn the_disk_is_read_like_the_files_in_memory() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("samples/apache-includes");
+    let name = folder.join("httpd.conf").to_string_lossy().into_owned();
+    let imported = apache::import(&[name], &Disk, &Ajp::default()).unwrap();
+    assert_eq!(imported.pools, import(&folder).unwrap().pools);
+    let absent = apache::import(&["no/such.conf".to_string()], &Disk, &Ajp::default()).unwrap_err();
+    assert!(absent.to_string().starts_with("no/such.conf:1:1: "));
+}
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -41,6 +41,10 @@
     pub fn load(path: Option<&Path>, site: &Site) -> Result<Setup, String> {
         let Some(path) = path else { return Ok(Setup::default()) };
         let setup = postusher_setup::load(path)?;
+        if let Some(pool) = setup.pools.first() {
+            let (path, name) = (path.display(), &pool.name);
+            return Err(format!("{path}: pool {name:?} stands beside a configuration; leave --config out"));
+        }
         let known: Vec<&str> = site.classes.iter().map(|(name, _)| name.as_str()).collect();
         let weights = setup.waiting.iter().flat_map(|w| w.weights.keys());
         if let Some(other) = weights.into_iter().find(|name| !known.contains(&name.as_str())) {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -12,6 +12,7 @@
 mod forward;
 mod handover;
 mod http;
+mod import;
 mod intake;
 mod invariant;
 mod listener;
@@ -50,6 +51,10 @@
         #[arg(value_name = "FILE")]
         setup: PathBuf,
     },
+    /// Turn files of Apache or mod_jk into a setup, with an account of what was carried. Exits with 3 where something
+    /// was not, with 2 where a file cannot be read.
+    #[command(subcommand)]
+    Import(import::From),
     /// Read a configuration and say what is wrong with it, if anything.
     CheckConfig(ConfigArg),
     /// Print the version.
@@ -94,6 +99,7 @@
             println!("{}: good; {classes} classes, {targets} targets known", arg.config.display());
             Ok(())
         }
+        Command::Import(_) => Err("imports are run apart".into()),
         Command::Version => {
             println!("postusher {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -104,6 +110,9 @@
 fn main() -> ExitCode {
     let command = Cli::parse().command;
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    if let Command::Import(from) = command {
+        return import::run(from);
+    }
     match run(command) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/setup/src/lib.rs
+++ b/setup/src/lib.rs
@@ -10,16 +10,30 @@
 #![forbid(unsafe_code)]
 
 mod element;
+pub mod pool;
 mod units;
 
+pub use pool::{Pool, Repeat, Role, Route, State, Sticky, Worker};
+
 use element::Element;
 use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
 use std::path::Path;
 
 /// Everything that a setup file says.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Setup {
+    /// The scheduler's name, where it stands alone.
+    pub name: Option<String>,
+    /// Where clients connect, where it stands alone.
+    pub listen: Option<SocketAddr>,
+    /// Where operators call, where it stands alone.
+    pub mgmt: Option<SocketAddr>,
+    /// Descriptors that the process may hold, where it stands alone.
+    pub sockets: Option<usize>,
+    /// Groups of workers that stand in this file.
+    pub pools: Vec<Pool>,
     /// Jobs may wait for others or for a time.
     pub waiting: Option<Waiting>,
 }
@@ -150,11 +164,20 @@
         );
         return setup;
     }
+    let text = |text: &str| Ok(text.to_string());
+    let mut name = String::new();
+    if root.read("name", mistakes, text, &mut name) {
+        setup.name = Some(name);
+    }
+    root.read("listen", mistakes, |t| units::address(t).map(Some), &mut setup.listen);
+    root.read("mgmt", mistakes, |t| units::address(t).map(Some), &mut setup.mgmt);
+    root.read("sockets", mistakes, |t| units::count(t).map(Some), &mut setup.sockets);
     for child in root.children(mistakes) {
         match child.name() {
+            "pool" => pool::read(child, &mut setup.pools, mistakes),
             "waiting" if setup.waiting.is_none() => setup.waiting = Some(waiting(child, mistakes)),
             "waiting" => child.wrong(mistakes, "<waiting> stands here twice".into(), "join the two".into()),
-            _ => child.unknown(mistakes, &["waiting"]),
+            _ => child.unknown(mistakes, &["pool", "waiting"]),
         }
     }
     root.no_more_attributes(mistakes);
--- a/setup/src/units.rs
+++ b/setup/src/units.rs
@@ -52,6 +52,74 @@
     weight.ok_or_else(|| "write a number from 0.01 to 1000, such as 2".into())
 }
 
+/// An address to listen at.
+pub fn address(text: &str) -> Result<std::net::SocketAddr, String> {
+    text.parse().map_err(|_| "write IP:PORT, such as 127.0.0.1:8080 or [::1]:8080".into())
+}
+
+/// Where a worker listens: a name or an address, and a port.
+pub fn place(text: &str) -> Result<String, String> {
+    let instead = || "write HOST:PORT, such as 127.0.0.1:9001 or app1.example.org:8080".to_string();
+    let (host, port) = text.rsplit_once(':').ok_or_else(instead)?;
+    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+    let v6 = |h: &str| {
+        h.strip_prefix('[')
+            .and_then(|h| h.strip_suffix(']'))
+            .is_some_and(|h| h.parse::<std::net::Ipv6Addr>().is_ok())
+    };
+    let named = (1..=253).contains(&host.len()) && host.bytes().all(plain);
+    let good = (named || v6(host)) && port.bytes().all(|b| b.is_ascii_digit());
+    let port = port.parse::<u16>().ok().filter(|p| good && *p > 0);
+    port.map(|_| text.to_string()).ok_or_else(instead)
+}
+
+/// One of several words.
+pub fn word<T: Copy>(words: &'static [(&'static str, T)]) -> impl Fn(&str) -> Result<T, String> {
+    move |text| {
+        let all: Vec<&str> = words.iter().map(|(word, _)| *word).collect();
+        let found = words.iter().find(|(word, _)| *word == text).map(|(_, value)| *value);
+        found.ok_or_else(|| format!("write one of {}", all.join(", ")))
+    }
+}
+
+/// A name of a worker, a route or a pool.
+pub fn label(text: &str) -> Result<String, String> {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b':' | b'~');
+    let good = (1..=128).contains(&text.len()) && text.bytes().all(plain);
+    let instead = "write letters, digits, '-', '_', '.', ':' and '~', 128 at most";
+    good.then(|| text.to_string()).ok_or_else(|| instead.into())
+}
+
+/// A path from the root on.
+pub fn path(text: &str) -> Result<String, String> {
+    let good =
+        text.starts_with('/') && text.bytes().all(|b| b.is_ascii_graphic()) && !text.contains(['?', '#']);
+    good.then(|| text.to_string()).ok_or_else(|| "write a path from the root on, such as /app".into())
+}
+
+/// A small whole number, from 0.
+pub fn small(text: &str) -> Result<u32, String> {
+    let digits = (1..=3).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_digit());
+    let number = text.parse().ok().filter(|n| digits && *n <= 255);
+    number.ok_or_else(|| "write a whole number from 0 to 255".into())
+}
+
+/// Attempts for one request.
+pub fn attempts(text: &str) -> Result<u32, String> {
+    small(text)
+        .ok()
+        .filter(|n| (1..=16).contains(n))
+        .ok_or_else(|| "write a whole number from 1 to 16".into())
+}
+
+/// A host as a request names it, in small letters and without a port.
+pub fn host(text: &str) -> Result<String, String> {
+    let plain = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || matches!(b, b'-' | b'.');
+    let good = (1..=253).contains(&text.len()) && text.bytes().all(plain);
+    good.then(|| text.to_string())
+        .ok_or_else(|| "write a host in small letters, such as app.example.org".into())
+}
+
 /// The name of a class.
 pub fn name(text: &str) -> Result<String, String> {
     let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
