--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,6 +5,7 @@
 mod answer;
 mod clock;
 mod config;
+mod direct;
 mod dispatch;
 mod drain;
 mod event_loop;
@@ -30,6 +31,7 @@
 use event_loop::EventLoop;
 use postusher_setup::Setup;
 use reload::Reload;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -70,8 +72,12 @@
 
 #[derive(Args)]
 struct ServeArgs {
-    #[command(flatten)]
-    config: ConfigArg,
+    /// The configuration, as JSON; without one, the setup stands alone.
+    #[arg(long, value_name = "FILE", env = "NODE_CONFIG")]
+    config: Option<PathBuf>,
+    /// Where clients connect, in place of what a setup that stands alone says.
+    #[arg(long, value_name = "ADDR", conflicts_with = "config")]
+    listen: Option<SocketAddr>,
     /// What this scheduler can do beyond the configuration, as XML; without it, nothing more.
     #[arg(long, value_name = "FILE")]
     setup: Option<PathBuf>,
@@ -80,17 +86,22 @@
 fn run(command: Command) -> Result<(), String> {
     match command {
         Command::Serve(arg) => {
+            let (path, setup) = match (arg.config, arg.setup) {
+                (Some(path), setup) => (path, setup),
+                (None, Some(setup)) => return direct::serve(setup, arg.listen),
+                (None, None) => return Err("say --config FILE, or --setup FILE with pools in it".into()),
+            };
             let signals = EventLoop::signals().map_err(|e| format!("signals: {e}"))?;
-            let ServeArgs { config: ConfigArg { config: path }, setup } = arg;
             let config = Config::load(&path, setup.as_deref())?;
             let (name, reload) = (config.name.clone(), Reload::new(path, setup, &config));
             let serving = EventLoop::new(config, reload, signals, Clock::system()).and_then(|mut l| l.run());
             serving.map_err(|e| format!("{name}: {e}"))
         }
         Command::Check { setup } => {
-            let Setup { waiting } = postusher_setup::load(&setup)?;
+            let Setup { waiting, pools, .. } = postusher_setup::load(&setup)?;
             let jobs = waiting.map_or("nothing waits".to_string(), |w| format!("up to {} jobs wait", w.jobs));
-            println!("{}: good; {jobs}", setup.display());
+            let workers: usize = pools.iter().map(|p| p.workers.len()).sum();
+            println!("{}: good; {jobs}, {} pools with {workers} workers", setup.display(), pools.len());
             Ok(())
         }
         Command::CheckConfig(arg) => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -136,6 +136,8 @@
 pub enum Readiness {
     /// Takes jobs.
     Ready,
+    /// Takes only jobs for which it is wished.
+    Reserved,
     /// Finishes what it has.
     Draining,
     /// Removed.
@@ -302,6 +304,9 @@
     TakenOut(WorkerId),
     /// And takes it back.
     TakenBack(WorkerId),
+    /// A worker is wished for a job that comes next: it is taken where it can serve the job at all; else, if `only`,
+    /// the job is turned away, or goes where all jobs go.
+    Wished { job: JobId, worker: WorkerId, only: bool },
     /// A client's job; the dispatcher owes one final answer.
     Arrived(Job),
     /// A job that another process of this dispatcher has taken comes over to this one, with its attempts.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -67,6 +67,7 @@
             }
             Event::TakenOut(id) => self.taken(id, true),
             Event::TakenBack(id) => self.taken(id, false),
+            Event::Wished { job, worker, only } => drop(self.wishes.insert(job, (worker, only))),
             Event::Arrived(job) => self.arrived(job, out),
             Event::Learned(memory) => {
                 self.remember(&memory);
@@ -272,7 +273,9 @@
     fn rank(&self, r: &Request, w: &Worker, most: i64) -> Option<i64> {
         let (k, warmth, room) = (r.k, self.warmth(w), self.room(w));
         // Placement binds every attempt; none goes where one went before, but for a connection's fault.
+        let wished = self.wishes.get(&r.job.id).is_some_and(|(id, _)| *id == w.member.worker);
         let open = r.class.open_to(w.member.zone, w.member.kind);
+        let open = open && (wished || w.member.readiness != Readiness::Reserved);
         if !open || r.legs.iter().any(|l| l.worker == w.member.worker && !l.stale) {
             return None;
         }
@@ -346,6 +349,12 @@
 
     /// The longest-free of those that fit best, among the first in bucket order and those heard of last.
     fn pick(&self, r: &Request, next: &[WorkerId], most: i64) -> Option<WorkerId> {
+        if let Some((wished, only)) = self.wishes.get(&r.job.id) {
+            let best = self.best(r, std::iter::once(wished), most);
+            if best.is_some() || *only {
+                return best; // a wish may be declined, and then never goes round the rules
+            }
+        }
         let near = r.keepers.iter().chain(&self.lately).chain(next);
         self.best(r, near, most).or_else(|| self.best(r, self.next_for(r, 4 * LOOK).iter(), most))
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -323,7 +323,7 @@
 
     /// Whether the list says that it takes jobs.
     pub fn ready(&self) -> bool {
-        self.member.readiness == Readiness::Ready
+        matches!(self.member.readiness, Readiness::Ready | Readiness::Reserved)
     }
 }
 
@@ -541,6 +541,8 @@
     pub(crate) taken_out: BTreeSet<WorkerId>,
     pub(crate) bucket: Bucket,
     pub(crate) requests: ById<JobId, Request>,
+    /// Workers that hosts wish for jobs, and whether no other will do.
+    pub(crate) wishes: ById<JobId, (WorkerId, bool)>,
     /// Jobs that are not over, in order of arrival, by key, for classes that keep order.
     pub(crate) lines: BTreeMap<u64, VecDeque<JobId>>,
     /// Keys whose next job may have its turn.
@@ -673,6 +675,7 @@
 
     /// Takes a job out of mind and out of its key's line.
     pub(crate) fn forget(&mut self, id: JobId) {
+        self.wishes.remove(&id);
         let key = self.requests.remove(&id).and_then(|r| r.key());
         if let Some((key, line)) = key.and_then(|key| Some((key, self.lines.get_mut(&key)?))) {
             line.retain(|j| *j != id);
@@ -682,6 +685,9 @@
 
     /// Where the tokens of a worker lie.
     pub(crate) fn shelves(&self, m: &Member) -> Vec<Shelf> {
+        if m.readiness == Readiness::Reserved {
+            return Vec::new(); // found by a wish alone
+        }
         let place = self.placed.then_some(Shelf::Place(m.zone, m.kind));
         let cell = self.celled.then_some(Shelf::Cell(m.cell));
         [Some(Shelf::All), place, cell].into_iter().flatten().collect()
--- a/waiting/src/pace.rs
+++ b/waiting/src/pace.rs
@@ -17,7 +17,7 @@
 /// only to keep a loop from spinning.
 const REST: Millis = 20.0;
 /// After a job at the door was refused, those from here stay back so long.
-const GIVES_WAY: Millis = 100.0;
+const GIVES_WAY: Millis = 25.0;
 /// A job that was turned away rests so long the first time, twice as long each time after that ...
 const FIRST_REST: Millis = 20.0;
 /// ... up to this.
@@ -75,7 +75,6 @@
 
     /// A job that waits for nothing was refused for want of room.
     pub fn crowded(&mut self, now: Millis) {
-        (self.window, self.tried) = (1, false);
         self.rests_until = self.rests_until.max(now + GIVES_WAY);
     }
 
--- a/waiting/src/room.rs
+++ b/waiting/src/room.rs
@@ -92,6 +92,8 @@
     arrivals: u64,
     closed: bool,
     count: Count,
+    /// The most room at a single worker, when it was last looked for.
+    widest: u32,
 }
 
 impl Room {
@@ -110,6 +112,7 @@
             arrivals: 0,
             closed: false,
             count: Count::default(),
+            widest: 0,
         }
     }
 
@@ -363,17 +366,17 @@
             }
         }
         let (mut slots, mut jobs) = self.pace.open(vacancy, self.set.reserve, now);
-        let mut widest = vacancy.widest;
+        self.widest = vacancy.widest;
         while let Some((_, id)) = self.ready.first().copied().filter(|_| jobs > 0) {
             let Some(job) = self.jobs.get(&id) else { return };
             let needs = Pace::needs(job.slots, vacancy, self.set.reserve);
             // Nobody passes the first in the queue: else one that needs more room than others never gets it.
-            if needs > slots || needs > widest {
+            if needs > slots {
                 break;
             }
+            // Whether it fits at any single worker, or may lie there for a moment, the module knows.
             self.send_on(id, now);
             slots -= needs;
-            widest = widest.min(slots);
             jobs -= 1;
         }
     }
@@ -431,7 +434,10 @@
     /// else its client is to be told at once, as there is no time left for another try.
     pub fn turned_away(&mut self, id: JobId, now: Millis) -> bool {
         let Some(job) = self.jobs.get_mut(&id).filter(|j| j.state == State::Out) else { return false };
-        self.pace.turned_away(now);
+        // One that is larger than the room at any worker says nothing of others: they pass while it rests.
+        if job.slots <= self.widest {
+            self.pace.turned_away(now);
+        }
         let last = (job.expires - self.set.lead).min(job.ready_at + self.set.longest);
         let until = now + Pace::rest(job.turned_away + 1);
         if self.closed || until >= last {
