--- a/lab/examples/direct.rs
+++ b/lab/examples/direct.rs
@@ -65,7 +65,7 @@
     while let Some(all) = tasks.join_next().await {
         for (name, micros) in all?? {
             *had.entry(name).or_insert(0) += 1;
-            times.saturating_record(micros);
+            times.record(micros)?;
         }
     }
     Ok((had, times, begun.elapsed().as_secs_f64()))
