--- a/import/src/lib.rs
+++ b/import/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod apache;
 pub mod files;
 pub mod mod_jk;
+pub mod replay;
 pub mod write;
 
 pub use account::{Account, Entry, Place, Unreadable, Verdict};
--- /dev/null
+++ b/import/tests/replay.rs
@@ -0,0 +1,53 @@
+//! The fuzz targets' corpus replayed, and pieces of it put together at random: what must hold of any text holds.
+
+use postusher_import::replay;
+use proptest::prelude::*;
+use std::path::{Path, PathBuf};
+
+fn corpus() -> Vec<String> {
+    let mut next: Vec<PathBuf> = vec![Path::new(env!("CARGO_MANIFEST_DIR")).join("samples")];
+    let mut all = Vec::new();
+    while let Some(at) = next.pop() {
+        for entry in std::fs::read_dir(at).unwrap() {
+            let path = entry.unwrap().path();
+            if path.is_dir() {
+                next.push(path);
+            } else {
+                all.push((path.clone(), std::fs::read_to_string(&path).unwrap()));
+            }
+        }
+    }
+    all.sort();
+    all.into_iter().map(|(_, text)| text).collect()
+}
+
+#[test]
+fn the_corpus_holds_for_both() {
+    for text in corpus() {
+        replay::apache(&text);
+        replay::mod_jk(&text);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn lines_of_the_corpus_in_any_order_hold(picks in prop::collection::vec((any::<prop::sample::Index>(), any::<prop::sample::Index>(), 0u8..9), 1..25)) {
+        let lines: Vec<String> = corpus().iter().flat_map(|t| t.lines().map(String::from).collect::<Vec<_>>()).collect();
+        let mut text = String::new();
+        for (line, cut, how) in picks {
+            let line = line.get(&lines);
+            let at = cut.index(line.len() + 1);
+            match how {
+                // Most lines are whole, some are cut off.
+                0 if line.is_char_boundary(at) => text += &line[..at],
+                1 if line.is_char_boundary(at) => text += &line[at..],
+                _ => text += line,
+            }
+            text.push('\n');
+        }
+        replay::apache(&text);
+        replay::mod_jk(&text);
+    }
+}
