Clean up: rotation, open requests and connections looked at only when they change

Found by reading the whole change again; behaviour and assertions stay. The keeper sorted its members anew on every request and every turn, and each turn looked at all open requests of all pools: now only what changed. Giving up an attempt looked through all connections for one that its exchange names. The waiting room let time pass by a release of no room, and asked for the fleet's room while it rested. One rule on paths in place of two; a flag that was never set, a key of no connection and an import that was run beside the other commands are gone.

--- a/direct/src/keeper.rs
+++ b/direct/src/keeper.rs
@@ -46,7 +46,14 @@
 pub struct Keeper {
     members: Vec<Member>,
     strict: bool,
+    /// In the order of their numbers.
     rotation: Vec<usize>,
+    /// The weights of those in rotation.
+    total: f64,
+    /// Something has changed since the rotation was last seen.
+    changed: bool,
+    /// When the next of those that rest may be tried again.
+    wakes: f64,
 }
 
 impl Keeper {
@@ -54,8 +61,9 @@
     pub fn new(pool: &Pool) -> Keeper {
         let member = |w: &Worker| Member { worker: w.clone(), credit: 0.0, rests: 0.0, strikes: 0 };
         let strict = pool.sticky.as_ref().is_some_and(|s| s.strict);
-        let mut new =
-            Keeper { members: pool.workers.iter().map(member).collect(), strict, rotation: Vec::new() };
+        let members = pool.workers.iter().map(member).collect();
+        let (rotation, total, changed, wakes) = (Vec::new(), 1.0, true, f64::INFINITY);
+        let mut new = Keeper { members, strict, rotation, total, changed, wakes };
         new.turn(0.0);
         new
     }
@@ -68,7 +76,7 @@
                 (m.credit, m.rests, m.strikes) = (old.credit, old.rests, old.strikes);
             }
         }
-        *self = new;
+        *self = Keeper { changed: true, ..new };
         self.turn(now);
     }
 
@@ -76,9 +84,16 @@
         self.members.get(n).is_some_and(|m| m.worker.state != State::Stopped && m.rests <= now)
     }
 
-    /// Sees again who is in rotation; says whether that has changed.
+    /// Sees again who is in rotation; says whether that has changed. Costs nothing while nobody failed, came back or is
+    /// due to be tried again.
     pub fn turn(&mut self, now: f64) -> bool {
+        if !std::mem::take(&mut self.changed) && now < self.wakes {
+            return false;
+        }
         let new = self.in_rotation(now);
+        self.total = new.iter().map(|n| self.members[*n].worker.weight).sum::<f64>().max(1e-9);
+        let rests = self.members.iter().map(|m| m.rests).filter(|at| *at > now);
+        self.wakes = rests.fold(f64::INFINITY, f64::min);
         let changed = new != self.rotation;
         self.rotation = new;
         changed
@@ -119,7 +134,7 @@
     pub fn listings(&self) -> Vec<Listing> {
         let one = |(n, m): (usize, &Member)| match m.worker.state {
             State::Stopped => Listing::Gone,
-            _ if self.rotation.contains(&n) => Listing::Ready,
+            _ if self.rotation.binary_search(&n).is_ok() => Listing::Ready,
             _ => Listing::Reserved,
         };
         self.members.iter().enumerate().map(one).collect()
@@ -146,7 +161,7 @@
                 return Proposal::Refuse;
             }
         }
-        let total = self.total();
+        let total = self.total;
         let due = |n: &usize| self.members[*n].credit + self.members[*n].worker.weight / total;
         let next = self.rotation.iter().copied().max_by(|a, b| due(a).total_cmp(&due(b)).then(b.cmp(a)));
         let Some(next) = next else { return Proposal::Any };
@@ -155,14 +170,10 @@
         Proposal::Prefer(next)
     }
 
-    fn total(&self) -> f64 {
-        self.rotation.iter().map(|n| self.members[*n].worker.weight).sum::<f64>().max(1e-9)
-    }
-
     /// Everybody in rotation earns their part of so many requests. What is owed is bounded, so that one who was left
     /// out for long is not flooded when it comes back.
     fn earn(&mut self, requests: f64) {
-        let (total, many) = (self.total(), self.rotation.len() as f64);
+        let (total, many) = (self.total, self.rotation.len() as f64);
         for n in &self.rotation {
             let m = &mut self.members[*n];
             m.credit = (m.credit + requests * m.worker.weight / total).clamp(-many - 1.0, many + 1.0);
@@ -196,19 +207,21 @@
         if m.rests <= now {
             m.strikes = m.strikes.saturating_add(1);
             m.rests = now + rest.min(LONGEST_REST);
+            self.changed = true;
         }
     }
 
     /// A worker has answered.
     pub fn answered(&mut self, worker: usize) {
         if let Some(m) = self.members.get_mut(worker) {
+            self.changed |= m.rests > 0.0;
             (m.strikes, m.rests) = (0, 0.0);
         }
     }
 
-    /// When somebody who rests may be tried again.
-    pub fn next_due(&self, now: f64) -> Option<f64> {
-        self.members.iter().map(|m| m.rests).filter(|at| *at > now).reduce(f64::min)
+    /// When somebody who rests may be tried again, as of the last [`Keeper::turn`].
+    pub fn next_due(&self) -> Option<f64> {
+        Some(self.wakes).filter(|at| at.is_finite())
     }
 }
 
@@ -262,6 +275,7 @@
         let now_in = |k: &mut Keeper, down: &[usize]| {
             k.members.iter_mut().for_each(|m| m.rests = 0.0);
             down.iter().for_each(|n| k.members[*n].rests = 9.0);
+            k.changed = true;
             k.turn(1.0);
             k.rotation.clone()
         };
@@ -304,14 +318,16 @@
         for _ in 0..9 {
             k.failed(0, now);
             k.failed(0, now); // told twice of one moment
-            let until = k.next_due(now).unwrap();
+            k.turn(now);
+            let until = k.next_due().unwrap();
             rests.push(until - now);
             now = until;
         }
         assert_eq!(rests[..3], [500.0, 1_000.0, 2_000.0]);
         assert_eq!(rests[8], LONGEST_REST);
         k.answered(0);
-        assert_eq!(k.next_due(now), None);
+        k.turn(now);
+        assert_eq!(k.next_due(), None);
     }
 
     proptest! {
--- a/direct/src/routes.rs
+++ b/direct/src/routes.rs
@@ -1,5 +1,6 @@
 //! Which pool serves a request, and at which path; and the session that a request names.
 
+use postusher_setup::pool::begins;
 use postusher_setup::{Pool, Route, Sticky};
 
 struct Entry {
@@ -16,12 +17,6 @@
     exceptions: Vec<Vec<(Option<String>, String)>>,
 }
 
-/// Whether a path lies at another or below it.
-fn begins(path: &str, with: &str) -> bool {
-    let with = with.trim_end_matches('/');
-    path.strip_prefix(with).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
-}
-
 impl Routes {
     /// Of these pools.
     pub fn new(pools: &[Pool]) -> Routes {
--- a/import/src/apache/translate.rs
+++ b/import/src/apache/translate.rs
@@ -6,6 +6,7 @@
 use crate::account::{Account, Place};
 use crate::ajp::{Ajp, BY_HAND};
 use crate::Imported;
+use postusher_setup::pool::begins;
 use postusher_setup::{Pool, Role, Route, State, Sticky, Worker};
 use std::collections::BTreeMap;
 
@@ -654,9 +655,3 @@
         }
     }
 }
-
-/// Whether a path lies at another or below it.
-fn begins(path: &str, with: &str) -> bool {
-    let with = with.trim_end_matches('/');
-    path.strip_prefix(with).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
-}
--- a/lab/src/workers.rs
+++ b/lab/src/workers.rs
@@ -216,12 +216,8 @@
                 write(0, true);
                 None
             }
-            Taken::Yes => {
-                write(202, true);
-                Some(wire::answer(202, &[], b""))
-            }
-            // It is here: the one of before goes on.
-            Taken::Twice => {
+            // One that is here already goes on.
+            Taken::Yes | Taken::Twice => {
                 write(202, true);
                 Some(wire::answer(202, &[], b""))
             }
--- a/node/src/direct/event_loop.rs
+++ b/node/src/direct/event_loop.rs
@@ -239,9 +239,9 @@
                     return Ok(());
                 }
             }
-            let next = [self.service.next_due(now), self.timers.next()].into_iter().flatten();
+            let next = [self.service.next_due(), self.timers.next()].into_iter().flatten();
             let next = next.fold(now + LONGEST_SLEEP, f64::min);
-            let busy = self.service.has_events() || !self.again.is_empty();
+            let busy = self.service.has_events() || !self.again.is_empty() || self.accepts;
             let micros = if busy { 0.0 } else { ((next - now) * 1e3).ceil().max(0.0) };
             match self.poll.poll(&mut events, Some(Duration::from_micros(micros as u64))) {
                 Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e),
@@ -347,8 +347,6 @@
                 }
             }
         }
-        // The rest is looked for in the next turn.
-        self.again.push(Key { slot: usize::MAX, serial: 0 });
     }
 
     fn accept_managers(&mut self) {
@@ -560,7 +558,7 @@
                             }
                             return;
                         }
-                        Err(wrong) => return self.wrong(key, wrong, now),
+                        Err(wrong) => return self.wrong(key, wrong),
                     }
                 }
                 Role::Back(b) => {
@@ -647,10 +645,10 @@
             || !target.starts_with('/')
             || head.method() == "CONNECT";
         if bad {
-            return self.wrong(key, Wrong(400), now);
+            return self.wrong(key, Wrong(400));
         }
         let Some((pool, target)) = self.service.route(&host, &target) else {
-            return self.wrong(key, Wrong(404), now);
+            return self.wrong(key, Wrong(404));
         };
         let sticky = self.service.pool(pool).sticky.clone();
         let session = sticky.as_ref().and_then(|s| session(s, head.target(), head.all("Cookie")));
@@ -684,7 +682,7 @@
     }
 
     /// What a client sends is no request, or none that is served here.
-    fn wrong(&mut self, key: Key, wrong: Wrong, _now: Millis) {
+    fn wrong(&mut self, key: Key, wrong: Wrong) {
         let Some((f, _)) = self.front(key) else { return };
         if let Some(ask) = f.ask {
             // The request at hand goes wrong in its body.
@@ -713,6 +711,8 @@
     /// A request has its final answer without a worker.
     fn finish(&mut self, ask: Ask, status: u16, headers: &str) {
         let Some(x) = self.exchanges.remove(&ask) else { return };
+        // An attempt that is still out is called off by the module after this.
+        x.back.into_iter().for_each(|back| self.close(back));
         if x.answer.is_some() {
             return self.cut(x.front); // part of another answer is there already
         }
@@ -794,12 +794,8 @@
 
     /// Gives up an attempt.
     fn give_up(&mut self, ask: Ask, leg: u8, ending: Ending, now: Millis) {
-        let mine = |s: &Socket| matches!(&s.role, Role::Back(b) if b.ask == Some((ask, leg)));
-        let key = self.sockets.iter().find(|(_, s)| mine(s)).map(|(_, s)| s.key);
-        if let Some(x) = self.exchanges.get_mut(&ask).filter(|x| x.leg == leg) {
-            x.back = None;
-        }
-        key.into_iter().for_each(|key| self.close(key));
+        let back = self.exchanges.get_mut(&ask).filter(|x| x.leg == leg).and_then(|x| x.back.take());
+        back.into_iter().for_each(|key| self.close(key));
         self.service.settled(ask, leg, ending, false, now);
     }
 
@@ -881,11 +877,13 @@
     /// A client is gone: nothing is done for its request any more.
     fn leave(&mut self, ask: Ask) {
         let now = self.clock.now();
-        let Some(x) = self.exchanges.remove(&ask) else { return };
+        let Some(x) = self.exchanges.get(&ask) else { return };
+        let (leg, is_out) = (x.leg, x.back.is_some());
         self.service.gone(ask);
-        if x.back.is_some() {
-            self.give_up(ask, x.leg, Ending::Cancelled, now);
+        if is_out {
+            self.give_up(ask, leg, Ending::Cancelled, now);
         }
+        self.exchanges.remove(&ask);
     }
 
     /// A connection has ended, failed or run out of time.
@@ -934,14 +932,13 @@
                 let until = f.until;
                 self.timers.set(until, Due::Socket(key));
             }
-            Role::Front(f) if f.reader.is_begun() && !f.last => self.wrong(key, Wrong(408), now),
+            Role::Front(f) if f.reader.is_begun() && !f.last => self.wrong(key, Wrong(408)),
             Role::Front(_) => self.broken(key),
             Role::Back(b) if b.until > now => {
                 let until = b.until;
                 self.timers.set(until, Due::Socket(key));
             }
-            Role::Back(b) if b.connecting || b.ask.is_none() => self.broken(key),
-            // A body that stands still for as long as an answer may take.
+            // No connection came up, nobody needed it, or a body stands still for as long as an answer may take.
             Role::Back(_) => self.broken(key),
         }
     }
--- a/node/src/direct/service.rs
+++ b/node/src/direct/service.rs
@@ -102,8 +102,8 @@
     open: HashMap<JobId, Open>,
     events: Vec<Event>,
     timers: Timers<u64>,
-    /// The module knows another rotation.
-    stale: bool,
+    /// Requests that may be over, looked at once the module has had its say.
+    doubtful: Vec<JobId>,
 }
 
 /// All pools.
@@ -143,8 +143,8 @@
     fn new(pool: Pool, seed: u64, now: Millis) -> Result<Group, String> {
         let (module, keeper) = (Dispatcher::new(settings(&pool), seed, micros(now)), Keeper::new(&pool));
         let (ids, open, seats, events) = (HashMap::new(), HashMap::new(), Vec::new(), Vec::new());
-        let timers = Timers::new();
-        let mut group = Group { pool, module, keeper, seats, ids, open, events, timers, stale: false };
+        let (timers, doubtful) = (Timers::new(), Vec::new());
+        let mut group = Group { pool, module, keeper, seats, ids, open, events, timers, doubtful };
         let addrs = resolve(&group.pool)?;
         group.seat(addrs, ListKind::Cached);
         Ok(group)
@@ -172,6 +172,16 @@
         }
     }
 
+    /// A request that has its answer and no attempt out is over.
+    fn forget(&mut self) {
+        for job in std::mem::take(&mut self.doubtful) {
+            let over = |o: &Open| o.answered && o.legs.iter().all(|l| !l.out);
+            if self.open.get(&job).is_some_and(over) {
+                self.open.remove(&job);
+            }
+        }
+    }
+
     fn members(&self) -> Vec<Member> {
         let listings = self.keeper.listings();
         let one = |(n, seat): (usize, &Seat)| {
@@ -189,7 +199,7 @@
 
     /// The module hears of another rotation before anything else.
     fn turn(&mut self, now: Millis) {
-        if self.keeper.turn(now) || std::mem::take(&mut self.stale) {
+        if self.keeper.turn(now) {
             let members = self.members();
             self.events.insert(0, Event::Members { kind: ListKind::Delta, members });
         }
@@ -273,9 +283,7 @@
             Proposal::Only(n) => Some((n, true)),
             Proposal::Any | Proposal::Refuse => None,
         };
-        // One without a session, or whose session leads nowhere, counts with the shares.
-        let own = |n: usize| session.is_some() && group.pool.workers[n].route.as_deref() == session;
-        let proposed = wish.map(|(n, _)| n).filter(|n| !own(*n) && session.is_none());
+        let proposed = wish.map(|(n, _)| n).filter(|_| session.is_none());
         group.open.insert(job, Open { proposed, legs: Vec::new(), answered: false });
         let ask = Ask { pool, job };
         if proposal == Proposal::Refuse {
@@ -304,6 +312,8 @@
         let Some(l) = open.legs.get_mut(usize::from(leg)).filter(|l| l.out) else { return };
         l.out = false;
         open.answered |= done;
+        let done = open.answered;
+        group.doubtful.push(ask.job);
         let (seat, took) = (l.seat, now - l.sent);
         let mut latency = micros(took);
         let mut report = Vec::new();
@@ -324,7 +334,6 @@
             }
         }
         group.turn(now);
-        let done = open_answered(&group.open, ask.job);
         group.events.push(Event::Settled(Outcome { job: ask.job, leg, ending, latency, done, report }));
     }
 
@@ -333,6 +342,7 @@
         let group = &mut self.groups[ask.pool];
         if let Some(open) = group.open.get_mut(&ask.job).filter(|o| !o.answered) {
             open.answered = true;
+            group.doubtful.push(ask.job);
             group.events.push(Event::ClientGone(ask.job));
         }
     }
@@ -366,6 +376,7 @@
                     Action::Refuse { job, retry_after } => {
                         let Some(open) = group.open.get_mut(&job).filter(|o| !o.answered) else { continue };
                         open.answered = true;
+                        group.doubtful.push(job);
                         if let Some(proposed) = open.proposed.take() {
                             group.keeper.undone(proposed);
                         }
@@ -375,6 +386,7 @@
                     Action::Fail { job } => {
                         let Some(open) = group.open.get_mut(&job).filter(|o| !o.answered) else { continue };
                         open.answered = true;
+                        group.doubtful.push(job);
                         self.deeds.push(Deed::Fail { ask: ask(job) });
                     }
                     Action::Wake { after, cookie } => group.timers.set(now + after as f64 / 1e3, cookie),
@@ -382,7 +394,7 @@
                     Action::Probe { .. } | Action::Subscribe | Action::Disconnect { .. } => {}
                 }
             }
-            group.open.retain(|_, open| !open.answered || open.legs.iter().any(|l| l.out));
+            group.forget();
         }
         std::mem::take(&mut self.deeds)
     }
@@ -393,37 +405,35 @@
     }
 
     /// When something is to be done by time alone.
-    pub fn next_due(&self, now: Millis) -> Option<Millis> {
-        let one = |g: &Group| g.timers.next().into_iter().chain(g.keeper.next_due(now)).reduce(f64::min);
+    pub fn next_due(&self) -> Option<Millis> {
+        let one = |g: &Group| g.timers.next().into_iter().chain(g.keeper.next_due()).reduce(f64::min);
         self.groups.iter().filter_map(one).reduce(f64::min)
     }
 
     /// The figures, by pool and worker.
     pub fn stats(&self) -> serde_json::Value {
-        let worker = |(n, s): (usize, &Seat), g: &Group| {
+        let worker = |(n, s): (usize, &Seat), g: &Group, listings: &[Listing]| {
             let state = match g.pool.workers[n].state {
                 State::Live => "live",
                 State::Draining => "draining",
                 State::Stopped => "stopped",
             };
-            let listing = format!("{:?}", g.keeper.listings()[n]).to_lowercase();
+            let listing = format!("{:?}", listings[n]).to_lowercase();
             let value = serde_json::json!({"state": state, "listing": listing, "in_flight": s.in_flight,
                 "sent": s.had.sent, "answered": s.had.answered, "failed": s.had.failed,
                 "avoided": g.module.avoids(s.id)});
             (s.name.clone(), value)
         };
         let pool = |g: &Group| {
-            let workers: serde_json::Map<_, _> = g.seats.iter().enumerate().map(|s| worker(s, g)).collect();
+            let listings = g.keeper.listings();
+            let workers: serde_json::Map<_, _> =
+                g.seats.iter().enumerate().map(|s| worker(s, g, &listings)).collect();
             (g.pool.name.clone(), serde_json::json!({"in_flight": g.open.len(), "workers": workers}))
         };
         serde_json::json!({"pools": self.groups.iter().map(pool).collect::<serde_json::Map<_, _>>()})
     }
 }
 
-fn open_answered(open: &HashMap<JobId, Open>, job: JobId) -> bool {
-    open.get(&job).is_none_or(|o| o.answered)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -83,52 +83,46 @@
     setup: Option<PathBuf>,
 }
 
-fn run(command: Command) -> Result<(), String> {
+fn run(command: Command) -> Result<ExitCode, String> {
     match command {
         Command::Serve(arg) => {
             let (path, setup) = match (arg.config, arg.setup) {
                 (Some(path), setup) => (path, setup),
-                (None, Some(setup)) => return direct::serve(setup, arg.listen),
+                (None, Some(setup)) => {
+                    return direct::serve(setup, arg.listen).map(|()| ExitCode::SUCCESS);
+                }
                 (None, None) => return Err("say --config FILE, or --setup FILE with pools in it".into()),
             };
             let signals = EventLoop::signals().map_err(|e| format!("signals: {e}"))?;
             let config = Config::load(&path, setup.as_deref())?;
             let (name, reload) = (config.name.clone(), Reload::new(path, setup, &config));
             let serving = EventLoop::new(config, reload, signals, Clock::system()).and_then(|mut l| l.run());
-            serving.map_err(|e| format!("{name}: {e}"))
+            serving.map_err(|e| format!("{name}: {e}"))?;
         }
         Command::Check { setup } => {
             let Setup { waiting, pools, .. } = postusher_setup::load(&setup)?;
             let jobs = waiting.map_or("nothing waits".to_string(), |w| format!("up to {} jobs wait", w.jobs));
             let workers: usize = pools.iter().map(|p| p.workers.len()).sum();
             println!("{}: good; {jobs}, {} pools with {workers} workers", setup.display(), pools.len());
-            Ok(())
         }
         Command::CheckConfig(arg) => {
             let config = Config::load(&arg.config, None)?;
             let (classes, targets) = (config.site.classes.len(), config.known.entries.len());
             println!("{}: good; {classes} classes, {targets} targets known", arg.config.display());
-            Ok(())
         }
-        Command::Import(_) => Err("imports are run apart".into()),
+        Command::Import(from) => return Ok(import::run(from)),
         Command::Version => {
             println!("postusher {}", env!("CARGO_PKG_VERSION"));
-            Ok(())
         }
     }
+    Ok(ExitCode::SUCCESS)
 }
 
 fn main() -> ExitCode {
     let command = Cli::parse().command;
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    if let Command::Import(from) = command {
-        return import::run(from);
-    }
-    match run(command) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("postusher: {e}");
-            ExitCode::FAILURE
-        }
-    }
+    run(command).unwrap_or_else(|e| {
+        eprintln!("postusher: {e}");
+        ExitCode::FAILURE
+    })
 }
--- a/node/src/waiting.rs
+++ b/node/src/waiting.rs
@@ -195,8 +195,8 @@
     /// Lets time pass and releases what there is room for; `vacancy` is asked only where jobs could go on.
     pub fn release(&mut self, vacancy: impl Fn() -> postusher::Vacancy, now: Millis) -> Vec<Verdict> {
         let Some(room) = &mut self.0 else { return Vec::new() };
-        room.release(postusher_waiting::Vacancy::default(), now);
-        if room.wants_room() {
+        room.pass(now);
+        if room.wants_room(now) {
             let postusher::Vacancy { free, total, widest } = vacancy();
             room.release(postusher_waiting::Vacancy { free, total, widest }, now);
         }
--- a/setup/src/pool.rs
+++ b/setup/src/pool.rs
@@ -150,6 +150,12 @@
     &[("safe", Repeat::Safe), ("idempotent", Repeat::Idempotent), ("never", Repeat::Never)];
 const YES: &[(&str, bool)] = &[("yes", true), ("no", false)];
 
+/// Whether a path lies at another or below it: routes begin and end at slashes.
+pub fn begins(path: &str, with: &str) -> bool {
+    let with = with.trim_end_matches('/');
+    path.strip_prefix(with).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
 pub(crate) fn read(mut e: Element, pools: &mut Vec<Pool>, mistakes: &mut Vec<Mistake>) {
     let mut pool = Pool::default();
     e.need("name", mistakes, units::label, &mut pool.name);
--- a/waiting/src/room.rs
+++ b/waiting/src/room.rs
@@ -345,18 +345,18 @@
     /// When [`Room::release`] has something to do by time alone.
     pub fn next_due(&self, now: Millis) -> Option<Millis> {
         let alarm = self.alarms.first().map(|(at, _)| at.0);
-        let pace = self.wants_room().then(|| self.pace.rests_until().max(now + LOOK_EVERY));
+        let pace = (!self.ready.is_empty()).then(|| self.pace.rests_until().max(now + LOOK_EVERY));
         // Names that are forgotten change nothing for anybody who waits: they go with the next call.
         alarm.into_iter().chain(pace).min_by(f64::total_cmp)
     }
 
-    /// Whether jobs would go on, were there room.
-    pub fn wants_room(&self) -> bool {
-        !self.ready.is_empty()
+    /// Whether jobs would go on now, were there room.
+    pub fn wants_room(&self, now: Millis) -> bool {
+        !self.ready.is_empty() && now >= self.pace.rests_until()
     }
 
-    /// Lets time pass and sends on what the fleet has room for.
-    pub fn release(&mut self, vacancy: Vacancy, now: Millis) {
+    /// Lets time pass: what is due comes ready, or is over.
+    pub fn pass(&mut self, now: Millis) {
         self.names.forget(&self.set, now);
         while let Some((at, id)) = self.alarms.first().copied().filter(|(at, _)| at.0 <= now) {
             self.alarms.remove(&(at, id));
@@ -365,6 +365,11 @@
                 self.look_at(id, now);
             }
         }
+    }
+
+    /// Lets time pass and sends on what the fleet has room for.
+    pub fn release(&mut self, vacancy: Vacancy, now: Millis) {
+        self.pass(now);
         let (mut slots, mut jobs) = self.pace.open(vacancy, self.set.reserve, now);
         self.widest = vacancy.widest;
         while let Some((_, id)) = self.ready.first().copied().filter(|_| jobs > 0) {
