Importer: places, variables, labels and longest times written once for both formats

Both parsers found places and put variables in by code of their own, both translators made labels and took the longest of several times; two tests walked the samples each for itself.

--- a/import/src/apache/expand.rs
+++ b/import/src/apache/expand.rs
@@ -4,6 +4,7 @@
 use super::syntax::{parse, Item, Line};
 use crate::account::{Account, Place, Unreadable};
 use crate::files::{folder_of, seen_from, Files};
+use crate::text::put_in;
 use std::collections::BTreeMap;
 
 /// Includes go no deeper.
@@ -156,27 +157,16 @@
 
     /// Puts values in the place of `${NAME}`; one that is not defined stays, as with Apache.
     fn substitute(&mut self, text: &str, place: &Place) -> String {
-        let (mut out, mut rest) = (String::new(), text);
-        while let Some(at) = rest.find("${") {
-            let (before, from) = rest.split_at(at);
-            out += before;
-            let Some(end) = from.find('}') else {
-                rest = from;
-                break;
-            };
-            let name = &from[2..end];
-            match self.defines.get(name) {
-                Some(value) => out += value,
-                None => {
-                    let why = "the variable is not defined in these files; it may come from the environment";
-                    let by_hand = format!("add Define {name} VALUE and import again");
-                    self.account.not_carried(place, &from[..=end], why, &by_hand);
-                    out += &from[..=end];
-                }
+        let Expander { defines, account, .. } = self;
+        put_in(text, "${", '}', |name| {
+            let value = defines.get(name).cloned();
+            if value.is_none() {
+                let why = "the variable is not defined in these files; it may come from the environment";
+                let by_hand = format!("add Define {name} VALUE and import again");
+                account.not_carried(place, &format!("${{{name}}}"), why, &by_hand);
             }
-            rest = &from[end + 1..];
-        }
-        out + rest
+            value
+        })
     }
 }
 
--- a/import/src/apache/syntax.rs
+++ b/import/src/apache/syntax.rs
@@ -1,8 +1,8 @@
 //! The syntax of Apache's configuration files: directives and sections, with the place of every word.
 
 use crate::account::{Place, Unreadable};
+use crate::text::{unmarked, Places};
 use std::fmt::Write;
-use std::rc::Rc;
 use winnow::ascii::{line_ending, till_line_ending};
 use winnow::combinator::{alt, delimited, opt, preceded, repeat};
 use winnow::error::ContextError;
@@ -137,35 +137,13 @@
     }
 }
 
-/// Finds the place of an offset.
-struct Places<'a> {
-    file: Rc<str>,
-    text: &'a str,
-    /// Where each line begins.
-    starts: Vec<usize>,
-}
-
-impl Places<'_> {
-    fn new(file: Rc<str>, text: &str) -> Places<'_> {
-        let breaks = text.bytes().enumerate().filter(|(_, b)| *b == b'\n').map(|(n, _)| n + 1);
-        Places { file, text, starts: std::iter::once(0).chain(breaks).collect() }
-    }
-
-    fn at(&self, offset: usize) -> Place {
-        let line = self.starts.partition_point(|start| *start <= offset);
-        let start = self.starts[line - 1];
-        let column = 1 + self.text.get(start..offset).map_or(0, |t| t.chars().count());
-        Place { file: self.file.clone(), line, column }
-    }
-}
-
 /// Reads a file's text.
 ///
 /// # Errors
 /// The first place at which it is no configuration.
 pub fn parse(file: &str, text: &str) -> Result<Vec<Item>, Unreadable> {
-    let text = text.strip_prefix('\u{feff}').unwrap_or(text);
-    let places = Places::new(file.into(), text);
+    let text = unmarked(text);
+    let places = Places::new(file, text);
     let mut input = LocatingSlice::new(text);
     let wrong = |offset: usize, what: &str| Unreadable { place: places.at(offset), what: what.into() };
     let lines = lines.parse_next(&mut input).map_err(|_| wrong(0, "this is no configuration"))?;
--- a/import/src/apache/translate.rs
+++ b/import/src/apache/translate.rs
@@ -5,6 +5,7 @@
 use super::units::{switch, time, url};
 use crate::account::{Account, Place};
 use crate::ajp::{Ajp, BY_HAND};
+use crate::text::{self, longest};
 use crate::Imported;
 use postusher_setup::pool::begins;
 use postusher_setup::{Pool, Role, Route, State, Sticky, Worker};
@@ -101,9 +102,7 @@
 
 /// A name that a setup may have.
 fn label(text: &str) -> String {
-    let plain = |c: char| if c.is_ascii_alphanumeric() || "-_.".contains(c) { c } else { '-' };
-    let name: String = text.chars().map(plain).take(100).collect();
-    let name = name.trim_matches('-').to_string();
+    let name = text::label(text).trim_matches('-').to_string();
     if name.is_empty() {
         "pool".into()
     } else {
@@ -559,8 +558,7 @@
             "status" => self.status(at, n, place, what, value),
             "timeout" => match time(value).filter(|ms| *ms > 0.0) {
                 Some(ms) => {
-                    let several = pool.timeout != Pool::default().timeout && pool.timeout != ms;
-                    pool.timeout = if several { pool.timeout.max(ms) } else { ms };
+                    longest(&mut pool.timeout, Pool::default().timeout, ms);
                     let note = "the longest one holds for the whole pool";
                     self.account.approximated(place, what, note);
                 }
@@ -568,9 +566,7 @@
             },
             "connectiontimeout" => match time(value).filter(|ms| *ms > 0.0) {
                 Some(ms) => {
-                    let several =
-                        pool.connect_timeout != Pool::default().connect_timeout && pool.connect_timeout != ms;
-                    pool.connect_timeout = if several { pool.connect_timeout.max(ms) } else { ms };
+                    longest(&mut pool.connect_timeout, Pool::default().connect_timeout, ms);
                     self.account.approximated(place, what, "the longest one holds for the whole pool");
                 }
                 None => self.account.not_carried(place, what, unreadable, "write seconds, or 500ms"),
--- a/import/src/lib.rs
+++ b/import/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod files;
 pub mod mod_jk;
 pub mod replay;
+mod text;
 pub mod write;
 
 pub use account::{Account, Entry, Place, Unreadable, Verdict};
--- a/import/src/mod_jk/syntax.rs
+++ b/import/src/mod_jk/syntax.rs
@@ -1,7 +1,7 @@
 //! The syntax of `workers.properties` and `uriworkermap.properties`: lines of `key=value`, each with its place.
 
 use crate::account::{Place, Unreadable};
-use std::rc::Rc;
+use crate::text::{put_in, unmarked, Places};
 use winnow::ascii::{line_ending, space0, till_line_ending};
 use winnow::combinator::{opt, preceded};
 use winnow::error::ContextError;
@@ -48,16 +48,8 @@
 }
 
 fn lines(file: &str, text: &str) -> Result<Vec<Property>, Unreadable> {
-    let text = text.strip_prefix('\u{feff}').unwrap_or(text);
-    let file: Rc<str> = file.into();
-    let starts: Vec<usize> = std::iter::once(0)
-        .chain(text.bytes().enumerate().filter(|(_, b)| *b == b'\n').map(|(n, _)| n + 1))
-        .collect();
-    let place = |offset: usize| {
-        let line = starts.partition_point(|s| *s <= offset);
-        let column = 1 + text.get(starts[line - 1]..offset).map_or(0, |t| t.chars().count());
-        Place { file: file.clone(), line, column }
-    };
+    let text = unmarked(text);
+    let places = Places::new(file, text);
     let mut input = LocatingSlice::new(text);
     let mut all = Vec::new();
     loop {
@@ -65,15 +57,17 @@
         match line.parse_next(&mut input) {
             Ok(Found::Nothing) => {}
             Ok(Found::Pair(key, value, at)) => {
-                all.push(Property { key: key.into(), value: value.into(), place: place(at) });
+                all.push(Property { key: key.into(), value: value.into(), place: places.at(at) });
             }
             Ok(Found::Bad(at)) => {
                 return Err(Unreadable {
-                    place: place(at),
+                    place: places.at(at),
                     what: "write KEY=VALUE, or # before a comment".into(),
                 })
             }
-            Err(_) => return Err(Unreadable { place: place(at), what: "this line cannot be read".into() }),
+            Err(_) => {
+                return Err(Unreadable { place: places.at(at), what: "this line cannot be read".into() })
+            }
         }
         let ended: Read<_> = opt(line_ending).parse_next(&mut input);
         match ended {
@@ -87,7 +81,7 @@
     }
 }
 
-/// Reads a worker file; variables are put in.
+/// Reads a worker file; the values of earlier properties are put in for `$(NAME)`.
 ///
 /// # Errors
 /// The first line that is none.
@@ -95,28 +89,12 @@
     let mut all = lines(file, text)?;
     for n in 0..all.len() {
         let (before, rest) = all.split_at_mut(n);
-        rest[0].value = substitute(&rest[0].value, before);
+        let earlier = |name: &str| before.iter().rfind(|p| p.key == name).map(|p| p.value.clone());
+        rest[0].value = put_in(&rest[0].value, "$(", ')', earlier);
     }
     Ok(all)
 }
 
-/// Puts the value of an earlier property in the place of `$(NAME)`; one that is not there stays.
-fn substitute(text: &str, before: &[Property]) -> String {
-    let (mut out, mut rest) = (String::new(), text);
-    while let Some(at) = rest.find("$(") {
-        let (plain, from) = rest.split_at(at);
-        out += plain;
-        let Some(end) = from.find(')') else {
-            rest = from;
-            break;
-        };
-        let value = before.iter().rfind(|p| p.key == from[2..end]).map(|p| p.value.as_str());
-        out += value.unwrap_or(&from[..=end]);
-        rest = &from[end + 1..];
-    }
-    out + rest
-}
-
 /// Writes properties as text again.
 pub fn print(properties: &[Property]) -> String {
     properties.iter().map(|p| format!("{}={}\n", p.key, p.value)).collect()
--- a/import/src/mod_jk/translate.rs
+++ b/import/src/mod_jk/translate.rs
@@ -3,6 +3,7 @@
 use super::syntax::{Property, Rule};
 use crate::account::{Account, Place};
 use crate::ajp::{Ajp, BY_HAND};
+use crate::text::{self, longest};
 use crate::Imported;
 use postusher_setup::{Pool, Route, State, Sticky, Worker};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -220,13 +221,11 @@
         let number = value.parse::<f64>().ok().filter(|n| *n > 0.0 && *n < 1e9);
         match (property, number) {
             ("reply_timeout", Some(ms)) => {
-                pool.timeout =
-                    if pool.timeout == Pool::default().timeout { ms } else { pool.timeout.max(ms) };
+                longest(&mut pool.timeout, Pool::default().timeout, ms);
                 self.account.approximated(place, &what, "the longest one holds for the whole pool");
             }
             ("socket_connect_timeout" | "connect_timeout", Some(ms)) => {
-                let usual = pool.connect_timeout == Pool::default().connect_timeout;
-                pool.connect_timeout = if usual { ms } else { pool.connect_timeout.max(ms) };
+                longest(&mut pool.connect_timeout, Pool::default().connect_timeout, ms);
                 self.account.approximated(place, &what, "the longest one holds for the whole pool");
             }
             (
@@ -460,8 +459,7 @@
 
 /// A name that a setup may have.
 fn label(text: &str) -> String {
-    let plain = |c: char| if c.is_ascii_alphanumeric() || "-_.".contains(c) { c } else { '-' };
-    let name: String = text.chars().map(plain).take(100).collect();
+    let name = text::label(text);
     if name.is_empty() {
         "worker".into()
     } else {
--- a/import/tests/replay.rs
+++ b/import/tests/replay.rs
@@ -2,23 +2,11 @@
 
 use postusher_import::replay;
 use proptest::prelude::*;
-use std::path::{Path, PathBuf};
+
+mod common;
 
 fn corpus() -> Vec<String> {
-    let mut next: Vec<PathBuf> = vec![Path::new(env!("CARGO_MANIFEST_DIR")).join("samples")];
-    let mut all = Vec::new();
-    while let Some(at) = next.pop() {
-        for entry in std::fs::read_dir(at).unwrap() {
-            let path = entry.unwrap().path();
-            if path.is_dir() {
-                next.push(path);
-            } else {
-                all.push((path.clone(), std::fs::read_to_string(&path).unwrap()));
-            }
-        }
-    }
-    all.sort();
-    all.into_iter().map(|(_, text)| text).collect()
+    common::texts(&common::samples()).into_iter().map(|(_, text)| text).collect()
 }
 
 #[test]
--- a/import/tests/samples.rs
+++ b/import/tests/samples.rs
@@ -3,12 +3,13 @@
 
 use postusher_import::files::{Disk, Files, InMemory};
 use postusher_import::{apache, mod_jk, Ajp, Imported, Unreadable};
-use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 
+mod common;
+
 fn samples() -> Vec<PathBuf> {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("samples");
-    let mut all: Vec<PathBuf> = std::fs::read_dir(folder).unwrap().map(|e| e.unwrap().path()).collect();
+    let mut all: Vec<PathBuf> =
+        std::fs::read_dir(common::samples()).unwrap().map(|e| e.unwrap().path()).collect();
     all.sort();
     assert!(all.len() >= 25);
     all
@@ -16,20 +17,8 @@
 
 /// A sample's files, under short names.
 fn files(folder: &Path) -> InMemory {
-    let mut all = BTreeMap::new();
-    let mut next = vec![folder.to_path_buf()];
-    while let Some(at) = next.pop() {
-        for entry in std::fs::read_dir(at).unwrap() {
-            let path = entry.unwrap().path();
-            if path.is_dir() {
-                next.push(path);
-            } else {
-                let name = path.strip_prefix(folder).unwrap().to_string_lossy().into_owned();
-                all.insert(name, std::fs::read_to_string(&path).unwrap());
-            }
-        }
-    }
-    InMemory(all)
+    let short = |path: &Path| path.strip_prefix(folder).unwrap().to_string_lossy().into_owned();
+    InMemory(common::texts(folder).into_iter().map(|(path, text)| (short(&path), text)).collect())
 }
 
 fn ajp(files: &InMemory) -> Ajp {
