Load believed by zone and kind from probes by chance; keepers by hashes and speed

Causes, by count: - A new dispatcher takes each key for one that nobody asks for: 280 of 390 jobs of the top key went to two workers (`enter`: the share was asked before the job was counted). - Probes went to the head of the bucket, which is never used: a third of 46,849 to one worker per dispatcher (`refresh`). - What was not heard of was the median of 30 s of outcomes, which refusals keep alive (`usual_of_most`). - One zone with 33 workers held 15 a worker, the others 3 to 6: all zones were believed alike.

Now: probes by chance, belief by zone and kind from these alone, keepers by rendezvous hashing weighed by speed.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,7 +24,9 @@
 const REPORT_SPAN: Micros = 400_000; // reports are smoothed over this a sibling: by then others undid it
 const USUAL: f64 = 10_000_000.0; // over this a worker's load is averaged: keys and speed differ for long
 const REPORT_LAG: Micros = 250_000; // sendings younger than this are not in a load report yet: they are late
-const POOL: usize = 3; // so many workers next in the bucket are kept known to have room, by probing
+const BELIEF: f64 = 0.15; // weight of one report in what is believed of its zone, half of it of its kind
+const HOPELESS: f64 = 3.0; // so many jobs for each slot are as bad as more: nothing that waits is in time
+const FAR_PROBES: f64 = 0.4; // of the probes drawn for other zones these are sent: most jobs stay near
 const FRESH: f64 = 0.5; // a report is fresh for this part of the mean running time: most still runs then
 const PROBE_RATIO: f64 = 1.0; // probes for each arrival; three times as many are kept for later
 const LIST_CALL: f64 = 10_000.0; // the first list call comes by chance within this for each sibling
@@ -62,7 +64,6 @@
     /// Takes one event at time `now` and appends what is to be done.
     pub fn handle(&mut self, event: Event, now: Micros, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
-        self.unheard = self.middle.unwrap_or(self.mean_others.or(0.0)) + self.hidden();
         match event {
             Event::Members { kind, members } => self.members(kind, members, out),
             Event::ListMoved => {
@@ -124,7 +125,7 @@
         let gone = if kind == ListKind::Delta { Vec::new() } else { self.unlisted(&members) };
         gone.into_iter().for_each(|m| self.member(Member { readiness: Readiness::Gone, ..m }));
         members.into_iter().for_each(|m| self.member(m));
-        self.ready = self.workers.values().filter(|w| self.takes(w)).count();
+        self.count_ready();
         if kind == ListKind::Cached {
             self.bucket.shuffle(&mut self.rng); // dispatchers must not all begin with the same worker
         }
@@ -138,7 +139,7 @@
             Some(w) if w.member.up_since == m.up_since || m.readiness == Readiness::Gone => w.member = m,
             _ => self.renew(m, 0),
         }
-        self.shift(id);
+        self.sync(id);
     }
 
     /// A restart makes what was known of a worker void, but not the tokens still out.
@@ -151,20 +152,14 @@
         self.cold.push_back(id);
     }
 
-    fn shift(&mut self, id: WorkerId) {
-        let on = self.workers.get(&id).is_some_and(|w| self.takes(w) && self.set.fetch_price > 0.0);
-        self.ring.keep(id, on);
-        self.sync(id);
-    }
-
     /// An operator takes a worker out or back. One that is back has mostly been restarted, and the list tells
     /// so late: guards against old failures that keep it idle, and against more than a cold one can take.
     fn taken(&mut self, id: WorkerId, away: bool) {
         let changes = if away { self.taken_out.insert(id) } else { self.taken_out.remove(&id) };
         let member = self.workers.get(&id).filter(|_| changes && !away).map(|w| w.member.clone());
         member.into_iter().for_each(|m| self.renew(m, self.now));
-        self.ready = self.workers.values().filter(|w| self.takes(w)).count();
-        self.shift(id);
+        self.count_ready();
+        self.sync(id);
     }
 
     /// Part of its capacity that a worker has at least, by the time since it started or was taken back.
@@ -183,11 +178,11 @@
         slots.max(self.most_slots)
     }
 
-    /// Slots that others take: by the last report; as that ages, by what is usual there, then in the fleet.
+    /// Slots that others take: by the last report; as that ages, by what is usual there, then in its place.
     fn others(&self, w: &Worker) -> f64 {
         let age = if w.reported == 0 { f64::MAX } else { (self.now - w.reported) as f64 };
-        let (fleet, lasts) = (self.unheard, 4.0 * self.run.or(1.0));
-        let mean = fleet + (w.usual.or(fleet) - fleet) * (-age / USUAL).exp();
+        let (place, lasts) = (self.loads.at(&w.member) + self.hidden(), 4.0 * self.run.or(1.0));
+        let mean = place + (w.usual.or(place) - place) * (-age / USUAL).exp();
         mean + (w.others - mean) * (1.0 - age / lasts).max(0.0).powi(4)
     }
 
@@ -217,6 +212,15 @@
         (-self.kinds.get(&w.member.kind).map_or(0.0, |k| k.or(0.0))).exp().clamp(0.25, 4.0)
     }
 
+    /// The `n` workers that all dispatchers find first for a key, by hashes: the faster, the more often.
+    fn keepers(&self, key: u64, n: usize) -> Vec<WorkerId> {
+        let in_service = self.round.iter().filter_map(|id| self.workers.get(id)).filter(|w| !w.ejected());
+        let far = |w: &Worker| -Rng(key ^ u64::from(w.member.worker.0) << 32).next().ln() / self.speed(w);
+        let mut all: Vec<(f64, WorkerId)> = in_service.map(|w| (far(w), w.member.worker)).collect();
+        all.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        all.into_iter().take(n).map(|(_, id)| id).collect()
+    }
+
     /// Slots of a worker that others leave to us.
     fn ours(&self, w: &Worker) -> i64 {
         let (known, warmth) = (self.known(w), self.warmth(w));
@@ -405,8 +409,8 @@
     fn arrived(&mut self, job: Job, out: &mut Vec<Action>) {
         let id = job.id;
         if self.enter(job, out) && !self.line_up(id, out) {
-            let near = self.place(id, out);
-            self.refresh(&near, out); // the next job of a bound class looks where this one does
+            self.place(id, out);
+            self.refresh(out);
         }
     }
 
@@ -443,9 +447,9 @@
         let none = || Arc::new(Class::new(Effect::Once, 1)); // what settings lack is handled with most care
         let class = self.classes.get(usize::from(job.class)).cloned().unwrap_or_else(none);
         let keyed = self.set.fetch_price > 0.0 && job.key != 0;
-        let many = (KEEP_LOAD * self.asked.share(job.key) * self.ready as f64) as usize;
-        let keepers = if keyed { self.ring.near(job.key, KEEPERS.max(many)) } else { Vec::new() };
         self.asked.push(job.key, ASKED);
+        let many = (KEEP_LOAD * self.asked.share(job.key) * self.round.len() as f64) as usize;
+        let keepers = if keyed { self.keepers(job.key, KEEPERS.max(many)) } else { Vec::new() };
         let r = Request::new(job, class, keepers);
         self.most_slots = self.most_slots.max(r.k.min(DEFAULT_TOKENS));
         self.mean_k.add(r.k as f64, LEARN);
@@ -486,18 +490,17 @@
         r.class.goal as f64 + (r.class.stretch - 1.0 / speed).max(0.0) * self.expected(r)
     }
 
-    /// Seizes tokens for a job, or gives it its refusal at once. Returns where it looked.
-    fn place(&mut self, id: JobId, out: &mut Vec<Action>) -> Vec<WorkerId> {
-        let Some(r) = self.requests.get(&id) else { return Vec::new() };
-        let (open, next) = (r.job.expires > self.now && self.may_send(r), self.next_for(r, LOOK));
+    /// Seizes tokens for a job, or gives it its refusal at once.
+    fn place(&mut self, id: JobId, out: &mut Vec<Action>) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let open = r.job.expires > self.now && self.may_send(r);
         // What is hardly over by its deadline is not worth holding up others: it has to start at once.
         let fits = (r.job.expires - self.now.min(r.job.expires)) as f64 > self.expected(r);
         let most = if fits { self.affords(r) } else { 0 };
-        match open.then(|| self.pick(r, &next, most)).flatten() {
+        match open.then(|| self.pick(r, &self.next_for(r, LOOK), most)).flatten() {
             Some(worker) => self.send(id, worker, out),
             None => self.turn_away(id, out),
         }
-        next
     }
 
     /// Rule 2, for a further attempt.
@@ -580,7 +583,7 @@
         r.rests = if unsure && r.key().is_some() { now + self.set.order_pause } else { r.rests };
         let (answered, waiting) = (r.answered || o.done, r.out().next().is_some());
         lay.into_iter().for_each(|lay| self.lain(path, lay));
-        self.report(worker, &o.report);
+        self.report(worker, &o.report, false);
         let Some(r) = self.requests.get(&id) else { return };
         let (class, hint, usual) = (r.job.class, r.job.hint, self.expected(r));
         let sample = (ran.max(1) as f64 / usual).ln();
@@ -642,7 +645,7 @@
     }
 
     /// A load report: what we hold already plus what is free is what we may have; siblings' work is in it.
-    fn report(&mut self, id: WorkerId, report: &[f64]) {
+    fn report(&mut self, id: WorkerId, report: &[f64], chance: bool) {
         let Some(free) = self.set.reported(Field::FreeSlots, report) else { return };
         let queue = self.set.reported(Field::Queue, report);
         let queue = queue.unwrap_or(if free < 1.0 { self.hidden() } else { 0.0 });
@@ -661,7 +664,10 @@
         w.usual.add(others.max(0.0), 1.0 - (-since / USUAL).exp());
         w.reported = now.max(1);
         self.mean_slots.add(w.slots.max(1) as f64, LEARN);
-        self.mean_others.add(w.others, LEARN);
+        // Guards against: a fleet that seems full since outcomes come mostly from where most jobs go.
+        if let Some(w) = self.workers.get(&id).filter(|_| chance || !self.asks) {
+            self.loads.learn(&w.member, others.clamp(0.0, HOPELESS * self.known(w) as f64), BELIEF);
+        }
         self.heard_of(id, LOOK);
     }
 
@@ -683,33 +689,30 @@
         let on_trial = |id: &&WorkerId| self.workers.get(id).is_some_and(Worker::on_trial);
         let gone = self.watched.iter().filter(on_trial).count();
         let lie_out = (LIE_OUT as f64 * (0.75 + self.rng.next() / 2.0)) as Micros;
-        let may = |w: &&mut Worker| w.strikes > 0 || (gone + 1) * EJECT_ONE_IN <= self.ready;
+        let may = |w: &&mut Worker| w.strikes > 0 || (gone + 1) * EJECT_ONE_IN <= self.round.len();
         let Some(w) = self.workers.get_mut(&id).filter(may) else { return };
         w.ejected_until = self.now + (lie_out << w.strikes.min(4));
         w.strikes += 1;
         self.sync(id);
     }
 
-    /// Keeps a pool of workers known, those next in the bucket: the job to come finds its free slot there.
-    fn refresh(&mut self, near: &[WorkerId], out: &mut Vec<Action>) {
-        let mut known = 0;
-        for id in near {
-            let Some(w) = self.workers.get(id).filter(|_| self.asks) else { continue };
-            let (fresh, room) = (self.fresh(w), self.room(w) > 0);
-            if let Some(w) = self.workers.get_mut(id).filter(|w| !fresh && !w.probing && self.probes.spend())
-            {
-                w.probing = true;
-                out.push(Action::Probe { worker: *id });
-            }
-            known += usize::from(!fresh || room);
-            if known >= POOL {
-                break;
+    /// Probes workers by chance, near ones more often: refused jobs teach as much of the fleet as others.
+    fn refresh(&mut self, out: &mut Vec<Action>) {
+        for _ in 0..self.round.len().min(LOOK) {
+            let (id, far) = (self.round[self.rng.below(self.round.len())], self.rng.next() >= FAR_PROBES);
+            let Some(w) = self.workers.get(&id).filter(|w| self.asks && !w.ejected() && !w.probing) else {
+                continue;
+            };
+            let skip = self.fresh(w) || far && w.member.zone != self.set.zone;
+            if !skip && self.probes.spend() {
+                self.workers.entry(id).and_modify(|w| w.probing = true);
+                out.push(Action::Probe { worker: id });
             }
         }
     }
 
     fn probed(&mut self, id: WorkerId, ending: Ending, report: &[f64]) {
-        self.report(id, report);
+        self.report(id, report, true);
         self.workers.entry(id).and_modify(|w| w.probing = false);
         if !matches!(ending, Ending::Ok | Ending::Full | Ending::Stale) {
             self.observe(id, FAILED);
@@ -719,11 +722,8 @@
 
     fn tick(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Wake { after: TICK, cookie: Cookie::Tick.into() });
-        self.middle = self.usual_of_most(3 * USUAL as Micros);
         self.lay *= 0.96; // lets go within seconds, when nothing is sent that could tell
-        if self.probes.0 >= 1.0 {
-            self.refresh(&self.bucket.on(Shelf::All, LOOK), out);
-        }
+        self.refresh(out);
         // Each cold worker's count is brought up about once a second.
         for _ in 0..self.cold.len().div_ceil(10) {
             let Some(id) = self.cold.pop_front() else { break };
--- a/src/state.rs
+++ b/src/state.rs
@@ -534,33 +534,29 @@
     }
 }
 
-/// Workers by hashes: every dispatcher finds the same few for a key, whatever else it knows.
+/// What others usually take of a worker that nothing was heard of: by its zone, and by its kind beside others of the
+/// zone. Each is replaced by new reports alone, however old they are; time changes nothing.
 #[derive(Default)]
-pub struct Ring(BTreeMap<u64, WorkerId>);
-
-impl Ring {
-    fn points(worker: WorkerId) -> impl Iterator<Item = u64> {
-        let mut rng = Rng(u64::from(worker.0));
-        (0..8).map(move |_| (rng.next() * u64::MAX as f64) as u64)
-    }
+pub struct Loads {
+    zones: BTreeMap<u16, Mean>,
+    kinds: BTreeMap<u16, Mean>,
+}
 
-    /// Has a worker on it, or not.
-    pub fn keep(&mut self, worker: WorkerId, on: bool) {
-        for point in Self::points(worker) {
-            let _ = if on { self.0.insert(point, worker) } else { self.0.remove(&point) };
-        }
+impl Loads {
+    /// Takes in what others take of one of the workers.
+    pub fn learn(&mut self, m: &Member, x: f64, weight: f64) {
+        let zone = self.zones.entry(m.zone).or_default();
+        let over = x - zone.or(x);
+        zone.add(x, weight);
+        self.kinds.entry(m.kind).or_default().add(over, weight / 2.0);
     }
 
-    /// The first `n` workers from a key on.
-    pub fn near(&self, key: u64, n: usize) -> Vec<WorkerId> {
-        let from = (Rng(key).next() * u64::MAX as f64) as u64;
-        let mut near = Vec::new();
-        for (_, worker) in self.0.range(from..).chain(self.0.range(..from)).take(8 * n) {
-            if near.len() < n && !near.contains(worker) {
-                near.push(*worker);
-            }
-        }
-        near
+    /// What to take for a worker; the mean of the zones where nothing was heard of its own.
+    pub fn at(&self, m: &Member) -> f64 {
+        let zones = self.zones.values().map(|z| z.or(0.0));
+        let fleet = || zones.sum::<f64>() / self.zones.len().max(1) as f64;
+        let zone = self.zones.get(&m.zone).map_or_else(fleet, |z| z.or(0.0));
+        (zone + self.kinds.get(&m.kind).map_or(0.0, |k| k.or(0.0))).max(0.0)
     }
 }
 
@@ -603,25 +599,21 @@
     /// Workers that time alone changes: those that hold attempts, lie out or are on trial, and those cold.
     pub(crate) watched: BTreeSet<WorkerId>,
     pub(crate) cold: VecDeque<WorkerId>,
-    pub(crate) ready: usize,
+    /// Workers that take jobs, in order of their numbers.
+    pub(crate) round: Vec<WorkerId>,
     /// Workers whose reports came last.
     pub(crate) lately: VecDeque<WorkerId>,
     /// Slots of a job, in the mean.
     pub(crate) mean_k: Mean,
-    /// Slots of a worker and what others take of them, in the mean of all reports.
+    /// Slots of a worker, in the mean of all reports.
     pub(crate) mean_slots: Mean,
-    pub(crate) mean_others: Mean,
-    /// What others usually take of a worker in the middle of those heard of, if a few were.
-    pub(crate) middle: Option<f64>,
-    /// What to take for a worker not heard of.
-    pub(crate) unheard: f64,
+    pub(crate) loads: Loads,
     /// Reports tell of what waits, or leave it out although starts are told.
     pub(crate) told: bool,
     pub(crate) hides: bool,
     /// Probes are allowed and carry load.
     pub(crate) asks: bool,
     pub(crate) probes: Budget,
-    pub(crate) ring: Ring,
     /// The keys of the latest jobs.
     pub(crate) asked: Shares,
     /// Usual time to a start where nothing waits: on a held or a new (1) connection, in this or another zone (2).
@@ -644,7 +636,7 @@
         };
         let mut workers: Vec<_> = self.workers.iter().map(|(id, w)| (*id, health(w))).collect();
         workers.sort_unstable_by_key(|(id, _)| *id);
-        let means = [self.run, self.mean_slots, self.mean_others].into_iter().chain(self.starts);
+        let means = [self.run, self.mean_slots].into_iter().chain(self.starts);
         Memory {
             fleet: means.map(|mean| mean.0).collect(),
             lay: self.lay,
@@ -658,7 +650,7 @@
     /// Goes on from what another process has learned; of workers that are not known here nothing is kept.
     pub(crate) fn remember(&mut self, memory: &Memory) {
         let [a, b, c, d] = &mut self.starts;
-        let means = [&mut self.run, &mut self.mean_slots, &mut self.mean_others, a, b, c, d];
+        let means = [&mut self.run, &mut self.mean_slots, a, b, c, d];
         means.into_iter().zip(&memory.fleet).for_each(|(mean, known)| mean.0 = known.or(mean.0));
         self.lay = memory.lay;
         self.recent = Recent(memory.recent.iter().copied().collect());
@@ -701,14 +693,10 @@
         self.lately.truncate(most);
     }
 
-    /// What others usually take of a worker: the median of those heard of within this time, each counted once,
-    /// however many reports it sent. `None` if there are fewer than three. Guards against: a fleet that seems full
-    /// since reports come with outcomes, so mostly from where most jobs go.
-    pub(crate) fn usual_of_most(&self, within: Micros) -> Option<f64> {
-        let heard = self.workers.values().filter(|w| w.reported > 0 && self.now - w.reported < within);
-        let all: Vec<f64> = heard.filter_map(|w| w.usual.0).collect();
-        let (few, middle) = (all.len() < 3, all.len().saturating_sub(1) / 2);
-        nth(all, middle).filter(|_| !few)
+    /// Finds anew which workers take jobs.
+    pub(crate) fn count_ready(&mut self) {
+        self.round = self.workers.iter().filter(|(_, w)| self.takes(w)).map(|(id, _)| *id).collect();
+        self.round.sort_unstable();
     }
 
     /// Workers that a full list leaves out.
