Small fleets believe and probe as before wherever three in four workers were heard of

Now the median and the pool serve wherever three in four workers were heard of within 30 s, beliefs by place and chance elsewhere.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,6 +24,7 @@
 const REPORT_SPAN: Micros = 400_000; // reports are smoothed over this a sibling: by then others undid it
 const USUAL: f64 = 10_000_000.0; // over this a worker's load is averaged: keys and speed differ for long
 const REPORT_LAG: Micros = 250_000; // sendings younger than this are not in a load report yet: they are late
+const POOL: usize = 3; // so many workers next in the bucket are kept known to have room, by probing
 const BELIEF: f64 = 0.15; // weight of one report in what is believed of its zone, half of it of its kind
 const HOPELESS: f64 = 3.0; // so many jobs for each slot are as bad as more: nothing that waits is in time
 const FAR_PROBES: f64 = 0.4; // of the probes drawn for other zones these are sent: most jobs stay near
@@ -181,9 +182,9 @@
     /// Slots that others take: by the last report; as that ages, by what is usual there, then in its place.
     fn others(&self, w: &Worker) -> f64 {
         let age = if w.reported == 0 { f64::MAX } else { (self.now - w.reported) as f64 };
-        let (place, lasts) = (self.loads.at(&w.member) + self.hidden(), 4.0 * self.run.or(1.0));
+        let place = self.middle.unwrap_or(self.loads.at(&w.member)) + self.hidden();
         let mean = place + (w.usual.or(place) - place) * (-age / USUAL).exp();
-        mean + (w.others - mean) * (1.0 - age / lasts).max(0.0).powi(4)
+        mean + (w.others - mean) * (1.0 - age / (4.0 * self.run.or(1.0))).max(0.0).powi(4)
     }
 
     /// Jobs that wait at a worker in the mean, where reports don't tell: by how long ours lay before a start.
@@ -212,15 +213,6 @@
         (-self.kinds.get(&w.member.kind).map_or(0.0, |k| k.or(0.0))).exp().clamp(0.25, 4.0)
     }
 
-    /// The `n` workers that all dispatchers find first for a key, by hashes: the faster, the more often.
-    fn keepers(&self, key: u64, n: usize) -> Vec<WorkerId> {
-        let in_service = self.round.iter().filter_map(|id| self.workers.get(id)).filter(|w| !w.ejected());
-        let far = |w: &Worker| -Rng(key ^ u64::from(w.member.worker.0) << 32).next().ln() / self.speed(w);
-        let mut all: Vec<(f64, WorkerId)> = in_service.map(|w| (far(w), w.member.worker)).collect();
-        all.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        all.into_iter().take(n).map(|(_, id)| id).collect()
-    }
-
     /// Slots of a worker that others leave to us.
     fn ours(&self, w: &Worker) -> i64 {
         let (known, warmth) = (self.known(w), self.warmth(w));
@@ -409,8 +401,8 @@
     fn arrived(&mut self, job: Job, out: &mut Vec<Action>) {
         let id = job.id;
         if self.enter(job, out) && !self.line_up(id, out) {
-            self.place(id, out);
-            self.refresh(out);
+            let near = self.place(id, out);
+            self.refresh(&near, out); // the next job of a bound class looks where this one does
         }
     }
 
@@ -449,7 +441,7 @@
         let keyed = self.set.fetch_price > 0.0 && job.key != 0;
         self.asked.push(job.key, ASKED);
         let many = (KEEP_LOAD * self.asked.share(job.key) * self.round.len() as f64) as usize;
-        let keepers = if keyed { self.keepers(job.key, KEEPERS.max(many)) } else { Vec::new() };
+        let keepers = if keyed { self.ring.near(job.key, KEEPERS.max(many)) } else { Vec::new() };
         let r = Request::new(job, class, keepers);
         self.most_slots = self.most_slots.max(r.k.min(DEFAULT_TOKENS));
         self.mean_k.add(r.k as f64, LEARN);
@@ -490,17 +482,18 @@
         r.class.goal as f64 + (r.class.stretch - 1.0 / speed).max(0.0) * self.expected(r)
     }
 
-    /// Seizes tokens for a job, or gives it its refusal at once.
-    fn place(&mut self, id: JobId, out: &mut Vec<Action>) {
-        let Some(r) = self.requests.get(&id) else { return };
-        let open = r.job.expires > self.now && self.may_send(r);
+    /// Seizes tokens for a job, or gives it its refusal at once. Returns where it looked.
+    fn place(&mut self, id: JobId, out: &mut Vec<Action>) -> Vec<WorkerId> {
+        let Some(r) = self.requests.get(&id) else { return Vec::new() };
+        let (open, next) = (r.job.expires > self.now && self.may_send(r), self.next_for(r, LOOK));
         // What is hardly over by its deadline is not worth holding up others: it has to start at once.
         let fits = (r.job.expires - self.now.min(r.job.expires)) as f64 > self.expected(r);
         let most = if fits { self.affords(r) } else { 0 };
-        match open.then(|| self.pick(r, &self.next_for(r, LOOK), most)).flatten() {
+        match open.then(|| self.pick(r, &next, most)).flatten() {
             Some(worker) => self.send(id, worker, out),
             None => self.turn_away(id, out),
         }
+        next
     }
 
     /// Rule 2, for a further attempt.
@@ -696,18 +689,23 @@
         self.sync(id);
     }
 
-    /// Probes workers by chance, near ones more often: refused jobs teach as much of the fleet as others.
-    fn refresh(&mut self, out: &mut Vec<Action>) {
-        for _ in 0..self.round.len().min(LOOK) {
-            let (id, far) = (self.round[self.rng.below(self.round.len())], self.rng.next() >= FAR_PROBES);
-            let Some(w) = self.workers.get(&id).filter(|w| self.asks && !w.ejected() && !w.probing) else {
-                continue;
-            };
-            let skip = self.fresh(w) || far && w.member.zone != self.set.zone;
+    /// Where most workers are heard of, keeps a pool known of those next in the bucket, for the job to come.
+    /// Else probes by chance, in its own zone more often: refused jobs teach as much as others.
+    fn refresh(&mut self, near: &[WorkerId], out: &mut Vec<Action>) {
+        let (mut known, drawn) = (0, self.middle.is_none());
+        for at in 0..self.round.len().min(LOOK) {
+            let (chance, far) = (self.rng.below(self.round.len()), self.rng.next() >= FAR_PROBES);
+            let next = near.get(at).filter(|_| known < POOL);
+            let Some(id) = if drawn { self.round.get(chance) } else { next }.copied() else { break };
+            let asked = |w: &&Worker| self.asks && !(drawn && w.ejected());
+            let Some(w) = self.workers.get(&id).filter(asked) else { continue };
+            let (fresh, room) = (self.fresh(w), self.room(w) > 0);
+            let skip = fresh || w.probing || drawn && far && w.member.zone != self.set.zone;
             if !skip && self.probes.spend() {
                 self.workers.entry(id).and_modify(|w| w.probing = true);
                 out.push(Action::Probe { worker: id });
             }
+            known += usize::from(!fresh || room);
         }
     }
 
@@ -723,7 +721,8 @@
     fn tick(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Wake { after: TICK, cookie: Cookie::Tick.into() });
         self.lay *= 0.96; // lets go within seconds, when nothing is sent that could tell
-        self.refresh(out);
+        self.middle = self.usual_of_most(3 * USUAL as Micros);
+        self.refresh(&self.bucket.on(Shelf::All, LOOK), out);
         // Each cold worker's count is brought up about once a second.
         for _ in 0..self.cold.len().div_ceil(10) {
             let Some(id) = self.cold.pop_front() else { break };
--- a/src/state.rs
+++ b/src/state.rs
@@ -534,6 +534,33 @@
     }
 }
 
+/// Workers by hashes: every dispatcher finds the same few for a key, whatever else it knows.
+#[derive(Default)]
+pub struct Ring(BTreeMap<u64, WorkerId>);
+
+impl Ring {
+    /// Has these workers on it, each at eight places.
+    pub fn of(workers: &[WorkerId]) -> Self {
+        let points = |worker: &WorkerId| {
+            let (mut rng, worker) = (Rng(u64::from(worker.0)), *worker);
+            (0..8).map(move |_| ((rng.next() * u64::MAX as f64) as u64, worker))
+        };
+        Ring(workers.iter().flat_map(points).collect())
+    }
+
+    /// The first `n` workers from a key on.
+    pub fn near(&self, key: u64, n: usize) -> Vec<WorkerId> {
+        let from = (Rng(key).next() * u64::MAX as f64) as u64;
+        let mut near = Vec::new();
+        for (_, worker) in self.0.range(from..).chain(self.0.range(..from)).take(8 * n) {
+            if near.len() < n && !near.contains(worker) {
+                near.push(*worker);
+            }
+        }
+        near
+    }
+}
+
 /// What others usually take of a worker that nothing was heard of: by its zone, and by its kind beside others of the
 /// zone. Each is replaced by new reports alone, however old they are; time changes nothing.
 #[derive(Default)]
@@ -599,8 +626,9 @@
     /// Workers that time alone changes: those that hold attempts, lie out or are on trial, and those cold.
     pub(crate) watched: BTreeSet<WorkerId>,
     pub(crate) cold: VecDeque<WorkerId>,
-    /// Workers that take jobs, in order of their numbers.
+    /// Workers that take jobs, in order of their numbers, and by hashes where keys matter.
     pub(crate) round: Vec<WorkerId>,
+    pub(crate) ring: Ring,
     /// Workers whose reports came last.
     pub(crate) lately: VecDeque<WorkerId>,
     /// Slots of a job, in the mean.
@@ -608,6 +636,8 @@
     /// Slots of a worker, in the mean of all reports.
     pub(crate) mean_slots: Mean,
     pub(crate) loads: Loads,
+    /// What others usually take in the middle of the workers, where most were heard of lately.
+    pub(crate) middle: Option<f64>,
     /// Reports tell of what waits, or leave it out although starts are told.
     pub(crate) told: bool,
     pub(crate) hides: bool,
@@ -693,10 +723,22 @@
         self.lately.truncate(most);
     }
 
+    /// What others usually take of a worker: the median of those heard of within this time, each counted once,
+    /// however many reports it sent. `None` unless it is three in four of those that take jobs. Guards against: a fleet that
+    /// seems full since reports come with outcomes, so mostly from where most jobs go.
+    pub(crate) fn usual_of_most(&self, within: Micros) -> Option<f64> {
+        let listed = self.round.iter().filter_map(|id| self.workers.get(id));
+        let heard = listed.filter(|w| w.reported > 0 && self.now - w.reported < within);
+        let all: Vec<f64> = heard.filter_map(|w| w.usual.0).collect();
+        let (most, middle) = (4 * all.len() > 3 * self.round.len(), all.len().saturating_sub(1) / 2);
+        nth(all, middle).filter(|_| most)
+    }
+
     /// Finds anew which workers take jobs.
     pub(crate) fn count_ready(&mut self) {
         self.round = self.workers.iter().filter(|(_, w)| self.takes(w)).map(|(id, _)| *id).collect();
         self.round.sort_unstable();
+        self.ring = Ring::of(if self.set.fetch_price > 0.0 { &self.round } else { &[] });
     }
 
     /// Workers that a full list leaves out.
