--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -141,6 +141,7 @@
             "settings": {"MyZone": 1, "Zones": ["a", "b"], "Models": ["k0", "k1"],
                 "Permissions": {"Cancel": true, "ConnectTimeoutMs": 100, "KeepaliveMs": 5000, "MaxAttempts": 5,
                     "MaxRetryAfterMs": 2000, "RetryAfter": true, "SecondCopies": true},
+                "Realms": [{"Name": "acme", "QuotaPerS": 4.5, "Share": 0.6}, {"Name": "zeta", "QuotaPerS": 3, "Share": 0.4}],
                 "Report": {"Fields": ["tps", "concurrent", "x0"], "Source": "inline"},
                 "Rules": {"ColdFrom": 0.4, "FallMs": 1500, "OverloadFactor": 3, "WarmAfterMs": 8000},
                 "Services": [{"Name": "render", "Effect": "repeatable", "GoalTimeMs": 400, "HardLimitMs": 5000},
--- a/node/src/direct/service.rs
+++ b/node/src/direct/service.rs
@@ -296,7 +296,15 @@
         }
         let expires = micros(now + group.pool.timeout);
         let class = u16::from(!(again && whole));
-        group.events.push(Event::Arrived(Job { id: job, class, expires, hint: None, slots: 1, key: 0 }));
+        group.events.push(Event::Arrived(Job {
+            id: job,
+            class,
+            expires,
+            hint: None,
+            slots: 1,
+            key: 0,
+            customer: 0,
+        }));
         ask
     }
 
--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -8,7 +8,7 @@
 use crate::figures::Figures;
 use crate::forward::End;
 use crate::handover::{MovedJob, MovedLeg, MovedWait};
-use crate::intake::Job;
+use crate::intake::{self, Job};
 use crate::invariant::{holds, Invariant};
 use crate::news::{report_from_text, News, State};
 use crate::target_group::TargetGroup;
@@ -64,7 +64,8 @@
     /// What the module is told of it.
     fn told(&self, id: JobId) -> postusher::Job {
         let (job, expires) = (&self.job, micros(self.expires));
-        postusher::Job { id, class: job.class, expires, hint: job.hint, slots: job.slots, key: job.key }
+        let intake::Job { class, hint, slots, key, customer, .. } = *job;
+        postusher::Job { id, class, expires, hint, slots, key, customer }
     }
 }
 
@@ -116,7 +117,7 @@
 impl Dispatch {
     /// A module that knows nothing yet.
     pub fn new(site: Rc<Site>, seed: u64, now: Millis) -> Self {
-        let figures = Figures::new(site.classes.iter().map(|(name, _)| name.as_str()));
+        let figures = Figures::new(&site.classes, &site.customers);
         Dispatch {
             module: Dispatcher::new(site.settings.clone(), seed, micros(now)),
             waiting: Waiting::default(),
@@ -212,9 +213,9 @@
                 Ok(id)
             }
             Err(turned) => {
-                let class = r.job.class;
+                let (class, customer) = (r.job.class, r.job.customer);
                 let answer = self.turned(turned);
-                self.figures.ended(class, answer.kind());
+                self.figures.ended(class, customer, answer.kind());
                 self.forget(id);
                 Err(NotTaken::Answered(answer))
             }
@@ -574,7 +575,7 @@
             log::debug!("{} of class {}, {} slots: {answer:?}", r.trace, r.job.class, r.job.slots);
         }
         let (how, trace) = (answer.kind(), r.trace.clone());
-        self.figures.ended(r.job.class, how);
+        self.figures.ended(r.job.class, r.job.customer, how);
         self.deeds.push(Deed::Answer(r.client, answer));
         self.doubtful.push(id);
         self.has_ended(trace, how.into(), now);
--- a/node/src/event_loop/listeners.rs
+++ b/node/src/event_loop/listeners.rs
@@ -83,7 +83,7 @@
                 Ask::Job(job) if self.drain.refuses(now) => {
                     // No advice when to come back: another scheduler takes it at once.
                     let refused = Answer::Refused { retry_after: 0.0 };
-                    self.dispatch.figures.ended(job.class, refused.kind());
+                    self.dispatch.figures.ended(job.class, job.customer, refused.kind());
                     self.reply(key, now, false, |keep| refused.bytes(keep));
                 }
                 Ask::Job(job) if self.is_full() => {
@@ -92,7 +92,7 @@
                     let advice = f64::from(u8::from(set.retry_after)) * FULL_FOR;
                     let refused =
                         Answer::Refused { retry_after: advice.min(set.max_retry_after as f64 / 1e3) };
-                    self.dispatch.figures.ended(job.class, refused.kind());
+                    self.dispatch.figures.ended(job.class, job.customer, refused.kind());
                     self.reply(key, now, false, |keep| refused.bytes(keep));
                 }
                 // Guards against: two jobs under one id at the two processes of an upgrade.
--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -29,11 +29,20 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Ended([u64; 3]);
 
+impl From<&Ended> for ByEnd {
+    fn from(ended: &Ended) -> ByEnd {
+        let [served, refused, failed] = ended.0;
+        ByEnd { served, refused, failed }
+    }
+}
+
 /// All counters. Each counts where the thing becomes true: a job at its final answer, an attempt when its last byte
 /// is written.
 #[derive(Debug)]
 pub struct Figures {
     classes: Vec<(String, Ended)>,
+    /// By customer, those that the settings don't have last; empty where the settings have none.
+    customers: Vec<(String, Ended)>,
     /// Requests taken.
     pub taken: u64,
     /// Clients that went away before their answer.
@@ -79,6 +88,8 @@
     served: BTreeMap<&'a str, u64>,
     refused: BTreeMap<&'a str, u64>,
     failed: BTreeMap<&'a str, u64>,
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    customers: BTreeMap<&'a str, ByEnd>,
     attempts: u64,
     #[serde(flatten)]
     gauges: Gauges,
@@ -86,11 +97,25 @@
     reloads_failed: u64,
 }
 
+/// A customer's jobs by how they ended.
+#[derive(Serialize)]
+struct ByEnd {
+    served: u64,
+    refused: u64,
+    failed: u64,
+}
+
+/// The name under which jobs of customers count that the settings don't have. It bounds the names.
+const OTHERS: &str = "(others)";
+
 impl Figures {
-    /// Nothing counted yet, of any of these classes.
-    pub fn new<'a>(classes: impl Iterator<Item = &'a str>) -> Self {
+    /// Nothing counted yet, of any of these classes and customers.
+    pub fn new(classes: &[(String, f64)], customers: &[String]) -> Self {
+        let others = (!customers.is_empty()).then_some(OTHERS);
+        let customers = customers.iter().map(String::as_str).chain(others);
         Figures {
-            classes: classes.map(|name| (name.to_string(), Ended::default())).collect(),
+            classes: classes.iter().map(|(name, _)| (name.clone(), Ended::default())).collect(),
+            customers: customers.map(|name| (name.to_string(), Ended::default())).collect(),
             taken: 0,
             left: 0,
             attempts: 0,
@@ -100,9 +125,12 @@
         }
     }
 
-    /// A job of a class has had its final answer.
-    pub fn ended(&mut self, class: u16, how: Final) {
-        if let Some((_, ended)) = self.classes.get_mut(usize::from(class)) {
+    /// A job of a class and a customer has had its final answer.
+    pub fn ended(&mut self, class: u16, customer: u16, how: Final) {
+        let others = self.customers.len().saturating_sub(1);
+        let class = self.classes.get_mut(usize::from(class));
+        let customer = self.customers.get_mut(usize::from(customer).min(others));
+        for (_, ended) in class.into_iter().chain(customer) {
             ended.0[how as usize] += 1;
         }
     }
@@ -120,6 +148,7 @@
             served: by_class(Final::Served),
             refused: by_class(Final::Refused),
             failed: by_class(Final::Failed),
+            customers: self.customers.iter().map(|(name, ended)| (name.as_str(), ended.into())).collect(),
             attempts: self.attempts,
             gauges,
             reloads_ok: self.reloads_ok,
@@ -136,7 +165,8 @@
 
     #[test]
     fn every_class_and_figure_is_shown_from_the_start_and_each_end_counts_under_its_own() {
-        let mut figures = Figures::new(["render", "fund"].into_iter());
+        let classes = [("render".to_string(), 1.0), ("fund".to_string(), 1.0)];
+        let mut figures = Figures::new(&classes, &[]);
         let shown = |f: &Figures| {
             let gauges = Gauges { in_flight: 3, workers_known: 12, workers_excluded: 1, waiting: None };
             serde_json::from_str::<Value>(&f.json(gauges)).unwrap()
@@ -151,11 +181,11 @@
         let with: Value =
             serde_json::from_str(&figures.json(Gauges { waiting, ..Gauges::default() })).unwrap();
         assert_eq!([&with["held"], &with["released"], &with["longest_wait_ms"]], [5, 7, 250]);
-        figures.ended(0, Final::Served);
-        figures.ended(1, Final::Served);
-        figures.ended(1, Final::Refused);
-        figures.ended(0, Final::Failed);
-        figures.ended(9, Final::Failed); // no such class
+        figures.ended(0, 0, Final::Served);
+        figures.ended(1, 0, Final::Served);
+        figures.ended(1, 7, Final::Refused);
+        figures.ended(0, 0, Final::Failed);
+        figures.ended(9, 0, Final::Failed); // no such class
         let now = shown(&figures);
         assert_eq!(now["served"], json!({"render": 1, "fund": 1}));
         assert_eq!(
@@ -164,4 +194,21 @@
         );
         assert_eq!((figures.total(Final::Served), figures.total(Final::Failed)), (2, 1));
     }
+
+    #[test]
+    fn jobs_count_by_customer_where_there_are_any_and_unknown_ones_under_one_name() {
+        let mut figures =
+            Figures::new(&[("fund".to_string(), 1.0)], &["acme".to_string(), "zeta".to_string()]);
+        figures.ended(0, 1, Final::Served);
+        figures.ended(0, 1, Final::Refused);
+        figures.ended(0, 2, Final::Failed);
+        figures.ended(0, u16::MAX, Final::Failed);
+        let shown: Value = serde_json::from_str(&figures.json(Gauges::default())).unwrap();
+        let of = |served: u64, refused: u64, failed: u64| json!({"served": served, "refused": refused, "failed": failed});
+        assert_eq!(
+            shown["customers"],
+            json!({"acme": of(0, 0, 0), "zeta": of(1, 1, 0), "(others)": of(0, 0, 2)})
+        );
+        assert_eq!(figures.total(Final::Failed), 2, "and each once by its class");
+    }
 }
--- a/node/src/intake.rs
+++ b/node/src/intake.rs
@@ -13,6 +13,8 @@
     pub trace: String,
     /// Its class, by number.
     pub class: u16,
+    /// Whose it is, by number; [`NOBODY`] where it does not say, or the settings don't name that customer.
+    pub customer: u16,
     /// What it concerns; 0 where it has no key.
     pub key: u64,
     /// A guess at its running time.
@@ -49,6 +51,8 @@
 /// Where targets tell what becomes of jobs.
 const NEWS: &str = "/_jobs/news";
 const UP: &str = "/up";
+/// The number of a customer that the settings don't have: its jobs are taken, with a share of none.
+pub const NOBODY: u16 = u16::MAX;
 /// The header with a client's id for its job.
 const TRACE: &str = "X-Trace-Id";
 /// No machine has more slots than this.
@@ -114,10 +118,13 @@
         return Err(417);
     }
     let (slots, key) = (slots.unwrap_or(1), single("X-Object")?.map_or(0, key));
+    let named = if site.customers.is_empty() { None } else { single("X-Customer")? };
+    let customer = named.and_then(|name| site.customers.iter().position(|c| c == name));
     let waits = if waiting { Waits::take(&mut headers).ok_or(400u16)? } else { Waits::default() };
     Ok(Job {
         trace,
         class: class as u16,
+        customer: customer.map_or(NOBODY, |n| n as u16),
         key,
         hint: hint.map(postusher_settings::micros),
         slots,
@@ -225,6 +232,19 @@
         assert_eq!((millis("1500u", None), millis("1500", None)), (Some(1.5), None));
     }
 
+    #[test]
+    fn a_customer_is_found_by_its_name_and_one_that_nobody_knows_is_taken_all_the_same() {
+        let of = |header: &str| {
+            job_of(&format!("POST /render HTTP/1.1\r\nX-Trace-Id: a\r\n{header}\r\n")).map(|job| job.customer)
+        };
+        assert_eq!((of("X-Customer: zeta\r\n"), of("X-Customer: acme\r\n")), (Ok(1), Ok(0)));
+        assert_eq!(
+            (of("X-Customer: nobody\r\n"), of(""), of("X-Customer:\r\n")),
+            (Ok(NOBODY), Ok(NOBODY), Ok(NOBODY))
+        );
+        assert_eq!(of("X-Customer: zeta\r\nX-Customer: acme\r\n"), Err(400), "two names buy no second share");
+    }
+
     #[test]
     fn what_a_target_gets_is_what_the_client_sent() {
         let job = job_of(
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -2,7 +2,7 @@
 //! defaults written here.
 #![forbid(unsafe_code)]
 
-use postusher::{Class, Effect, Field, Group, Micros, Settings};
+use postusher::{Class, Customer, Effect, Field, Group, Micros, Settings};
 use serde::Deserialize;
 
 #[derive(Deserialize)]
@@ -12,6 +12,8 @@
     discovery: String,
     #[serde(default)]
     objective_mix: ObjectiveMix,
+    #[serde(default = "one")]
+    over_share_worth: f64,
     #[serde(default)]
     models: Vec<String>,
     #[serde(default)]
@@ -20,6 +22,8 @@
     #[serde(default)]
     prices: Prices,
     #[serde(default)]
+    realms: Vec<Realm>,
+    #[serde(default)]
     report: Report,
     rules: Rules,
     services: Vec<Service>,
@@ -40,6 +44,8 @@
     pub settings: Settings,
     /// The classes' names and the time their clients wait at most, in milliseconds, by number.
     pub classes: Vec<(String, f64)>,
+    /// The customers' names, by number.
+    pub customers: Vec<String>,
     /// The zones' names, by number.
     pub zones: Vec<String>,
     /// The machine kinds' names, by number.
@@ -100,6 +106,13 @@
     source: String,
 }
 
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Realm {
+    name: String,
+    quota_per_s: f64,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Rules {
@@ -205,6 +218,13 @@
     }
 }
 
+fn customer(realm: &Realm) -> Result<Customer, String> {
+    let quota = realm.quota_per_s;
+    let fits = quota.is_finite() && quota >= 0.0;
+    let wrong = || format!("settings: QuotaPerS of {:?} is {quota}; 0 or more", realm.name);
+    fits.then_some(Customer { quota }).ok_or_else(wrong)
+}
+
 /// The settings, or what is wrong with them.
 pub fn parse(json: &[u8]) -> Result<Settings, String> {
     let profile = serde_json::from_slice(json).map_err(|e| format!("settings: {e}"))?;
@@ -223,6 +243,8 @@
     let fields = p.report.fields.iter().filter(|_| sourced).map(|n| field(n, &p.specifics.report_x0));
     let settings = Settings {
         classes: classes.collect::<Result<_, _>>().map_err(|e| format!("settings: {e}"))?,
+        customers: p.realms.iter().map(customer).collect::<Result<_, _>>()?,
+        over_share_worth: p.over_share_worth,
         worth_by_work: p.worth_by == "work",
         siblings: p.siblings,
         must_ask: p.discovery == "ask",
@@ -253,6 +275,7 @@
     Ok(Site {
         settings,
         classes: p.services.into_iter().map(|s| (s.name, s.hard_limit_ms)).collect(),
+        customers: p.realms.into_iter().map(|r| r.name).collect(),
         zones: p.zones,
         models: p.models,
         report: if sourced { p.report.fields } else { Vec::new() },
@@ -276,6 +299,7 @@
             "Specifics": {"ClassStretch": [2, 2.5], "ReportX0": "free slots", "TellsStart": true}}"#;
         let s = parse(json).unwrap();
         assert!(s.must_ask && s.worth_by_work && s.tells_start && s.cancel && !s.probes);
+        assert_eq!(s.customers, vec![Customer { quota: 4.5 }]);
         assert_eq!(s.fields, vec![Field::Other, Field::FreeSlots, Field::Queue, Field::Jobs]);
         assert_eq!((s.siblings, s.max_attempts, s.ask_within), (2, 6, 10_000_000));
         let keyed = Effect::ByKey { group: Group::Cell, window: 25_000_000 };
@@ -313,11 +337,13 @@
         let json = serde_json::json!({"Zones": ["lowell"], "Models": ["fast-5", "slow-5"],
             "Permissions": {"ConnectTimeoutMs": 70}, "Report": {"Fields": ["tps", "x0"], "Source": "inline"},
             "Rules": {"ColdFrom": 1, "FallMs": 1, "OverloadFactor": 3, "WarmAfterMs": 1},
+            "Realms": [{"Name": "acme", "QuotaPerS": 4.5, "Share": 0.4}],
             "Services": [{"Effect": "once", "GoalTimeMs": 1, "Name": "quote", "HardLimitMs": 5000}]});
         let site = read(&json).unwrap();
         assert_eq!(site.classes, vec![("quote".to_string(), 5_000.0)]);
         assert_eq!((site.zones.len(), site.models.len(), site.connect_timeout_ms), (1, 2, 70.0));
         assert_eq!(site.report, vec!["tps", "x0"]);
+        assert_eq!(site.customers, vec!["acme"]);
         assert!(read(&serde_json::json!([])).unwrap_err().starts_with("settings: "));
     }
 
@@ -327,5 +353,8 @@
         let odd = br#"{"Permissions": {}, "Services": [{"Effect": "twice", "GoalTimeMs": 1}],
             "Rules": {"ColdFrom": 1, "FallMs": 1, "OverloadFactor": 3, "WarmAfterMs": 1}}"#;
         assert!(parse(odd).unwrap_err().contains("twice"));
+        let odd = br#"{"Permissions": {}, "Services": [], "Realms": [{"Name": "acme", "QuotaPerS": -1}],
+            "Rules": {"ColdFrom": 1, "FallMs": 1, "OverloadFactor": 3, "WarmAfterMs": 1}}"#;
+        assert!(parse(odd).unwrap_err().contains("QuotaPerS of \"acme\" is -1"));
     }
 }
--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -62,7 +62,8 @@
     }
 
     fn job() -> (u16, Record) {
-        let job = Job { id: JobId(1), class: 0, expires: 9_000_000, hint: None, slots: 1, key: 0 };
+        let job =
+            Job { id: JobId(1), class: 0, expires: 9_000_000, hint: None, slots: 1, key: 0, customer: 0 };
         (4, Record::Event(Event::Arrived(job)))
     }
 
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -160,13 +160,13 @@
 
     fn inbound(&mut self) -> Result<Event, WireError> {
         let id = JobId(self.u32("Job")?);
-        let (class, _tenant) = (self.u16("Type")?, self.u16("Org")?);
+        let (class, customer) = (self.u16("Type")?, self.u16("Org")?);
         let key = self.u64("NameKey")?;
         let (expires, hint) = (self.millis("ExpiresMs")?, self.millis("CostGuessMs")?);
         let slots = self.f32("Slots")?.clamp(0.0, 65_535.0) as u32;
         self.f32("Memory")?;
         let hint = (self.u8("Bitmap")? & 1 == 1).then_some(hint);
-        Ok(Event::Arrived(Job { id, class, expires, hint, slots, key }))
+        Ok(Event::Arrived(Job { id, class, expires, hint, slots, key, customer }))
     }
 
     fn settled(&mut self) -> Result<Event, WireError> {
@@ -356,7 +356,9 @@
         let Record::Event(Event::Arrived(job)) = record else { panic!("{record:?}") };
         assert_eq!((instance, job.id, job.slots), (3, JobId(0x5d3a_91c4), 2));
         assert_eq!((job.expires, job.hint), (8_652_250, Some(12_000)));
-        assert_eq!(job.key, 0x91f0_3b7c_55d2_0a64);
+        assert_eq!((job.key, job.customer), (0x91f0_3b7c_55d2_0a64, 0));
+        let (_, record) = one("0006 0003 5d3a91c4 0000 0004 91f03b7c55d20a64 40c0e62000000000 4028000000000000 40000000 00000000 01");
+        assert!(matches!(record, Record::Event(Event::Arrived(job)) if job.customer == 4));
     }
 
     #[test]
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -61,6 +61,13 @@
     pub zones: Option<Vec<u16>>,
 }
 
+/// A customer, one of those that share the fleet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Customer {
+    /// Jobs a second within its share, at all dispatchers together; what it asks for beyond is worth little.
+    pub quota: f64,
+}
+
 /// A value in a worker's load report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Field {
@@ -79,6 +86,10 @@
 pub struct Settings {
     /// The classes, by number.
     pub classes: Vec<Class>,
+    /// The customers, by number; none where all are alike.
+    pub customers: Vec<Customer>,
+    /// The part of its worth that a job above its customer's share has.
+    pub over_share_worth: f64,
     /// `credit` counts per unit of work instead of per job.
     pub worth_by_work: bool,
     /// How many dispatchers feed the same workers, this one included.
@@ -193,6 +204,8 @@
     pub slots: u32,
     /// What it concerns; 0 where it has no key.
     pub key: u64,
+    /// Whose it is, by number; one that the settings don't have has a share of none.
+    pub customer: u16,
 }
 
 /// What a dispatcher has learned of the fleet, in figures that another process of it can take over.
@@ -357,6 +370,8 @@
     fn default() -> Self {
         Settings {
             classes: Vec::new(),
+            customers: Vec::new(),
+            over_share_worth: 1.0,
             worth_by_work: false,
             siblings: 1,
             must_ask: false,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,7 +16,7 @@
 //! };
 //! let mut actions = Vec::new();
 //! dispatcher.handle(Event::Members { kind: ListKind::Full, members: vec![worker] }, 0, &mut actions);
-//! let job = Job { id: JobId(9), class: 0, expires: 5_000_000, hint: None, slots: 1, key: 0 };
+//! let job = Job { id: JobId(9), class: 0, expires: 5_000_000, hint: None, slots: 1, key: 0, customer: 0 };
 //! dispatcher.handle(Event::Arrived(job), 10, &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { job: JobId(9), worker: WorkerId(1), .. })));
 //! ```
--- a/tests/adopted.rs
+++ b/tests/adopted.rs
@@ -6,7 +6,8 @@
 
 fn adopt(rig: &mut Rig, id: u32, class: u16, begun: Vec<Begun>) {
     rig.actions.clear();
-    let job = Job { id: JobId(id), class, expires: rig.now + 5 * S, hint: None, slots: 1, key: 0 };
+    let job =
+        Job { id: JobId(id), class, expires: rig.now + 5 * S, hint: None, slots: 1, key: 0, customer: 0 };
     rig.play(Event::Adopted { job, begun });
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -78,7 +78,8 @@
     /// A job arrives; the worker it went to, if any.
     pub fn job(&mut self, id: u32, class: u16, slots: u32) -> Option<u32> {
         self.actions.clear();
-        let job = Job { id: JobId(id), class, expires: self.now + 5 * S, hint: None, slots, key: 0 };
+        let job =
+            Job { id: JobId(id), class, expires: self.now + 5 * S, hint: None, slots, key: 0, customer: 0 };
         self.play(Event::Arrived(job));
         self.sent(id)
     }
--- a/tests/further_rules.rs
+++ b/tests/further_rules.rs
@@ -90,6 +90,7 @@
         hint: None,
         slots: 1,
         key,
+        customer: 0,
     }));
     rig.sent(id)
 }
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -221,8 +221,15 @@
         rig.now += 100 * MS;
         rig.settle(id, 0, Ending::Ok);
         // A second one goes out with less time than such jobs take.
-        let short =
-            Job { id: JobId(1_000 + id), class: 0, expires: rig.now + 50 * MS, hint: None, slots: 1, key: 0 };
+        let short = Job {
+            id: JobId(1_000 + id),
+            class: 0,
+            expires: rig.now + 50 * MS,
+            hint: None,
+            slots: 1,
+            key: 0,
+            customer: 0,
+        };
         rig.play(Event::Arrived(short));
         rig.now += 50 * MS;
         let latency = 50 * MS;
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -169,7 +169,15 @@
                 let key = u64::from(which % 4);
                 d.jobs.insert(id, Told { class, key, ..Told::default() });
                 let (expires, hint) = (d.rig.now + 5 * S, None);
-                d.play(Event::Arrived(Job { id: JobId(id), class, expires, hint, slots: 1, key }));
+                d.play(Event::Arrived(Job {
+                    id: JobId(id),
+                    class,
+                    expires,
+                    hint,
+                    slots: 1,
+                    key,
+                    customer: 0,
+                }));
             }
             (4 | 5, Some((job, leg))) => d.settle(job, leg, ENDINGS[usize::from(which / 8 % 8)]),
             (6, Some((job, leg))) if which % 4 > 0 => {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -219,7 +219,7 @@
             rig.actions.clear();
             let (job, expires) = (JobId(id), rig.now + 5 * S);
             let key = if id % 50 == 49 { 77 } else { 1_000 + u64::from(id) };
-            let job = Job { id: job, class: 0, expires, hint: None, slots: 1, key };
+            let job = Job { id: job, class: 0, expires, hint: None, slots: 1, key, customer: 0 };
             rig.play(Event::Arrived(job));
             went.extend(rig.sent(id).filter(|_| key == 77));
             rig.settle(id, 0, Ending::Ok);
@@ -254,7 +254,15 @@
         for id in 1..=100 {
             rig.actions.clear();
             let key = if id % 10 < hot { 77 } else { 1_000 + u64::from(id) * 100 + seed };
-            let job = Job { id: JobId(id), class: 0, expires: rig.now + 5 * S, hint: None, slots: 1, key };
+            let job = Job {
+                id: JobId(id),
+                class: 0,
+                expires: rig.now + 5 * S,
+                hint: None,
+                slots: 1,
+                key,
+                customer: 0,
+            };
             rig.play(Event::Arrived(job));
             if let Some(worker) = rig.sent(id).filter(|_| key == 77) {
                 *went.entry(worker).or_default() += 1;
@@ -352,7 +360,7 @@
         let priced = Settings { fetch_price: 0.1, siblings: 300, ..settings() };
         let mut rig = Rig { dispatcher: Dispatcher::new(priced, seed, S), now: S, actions: Vec::new() };
         rig.members(ListKind::Cached, (1..=180).map(member).collect());
-        let job = Job { id: JobId(1), class: 0, expires: 6 * S, hint: None, slots: 1, key: 77 };
+        let job = Job { id: JobId(1), class: 0, expires: 6 * S, hint: None, slots: 1, key: 77, customer: 0 };
         rig.play(Event::Arrived(job));
         rig.sent(1).into_iter().for_each(|worker| *went.entry(worker).or_insert(0) += 1);
     }
--- a/tests/sequences.rs
+++ b/tests/sequences.rs
@@ -131,7 +131,7 @@
     rig.play(Event::Timer(u64::MAX));
     rig.probed(99, Ending::Timeout, &[-1.0, f64::INFINITY]);
     rig.probed(1, Ending::Ok, &[f64::NAN]);
-    let job = Job { id: JobId(5), class: 900, expires: 0, hint: Some(0), slots: 0, key: 0 };
+    let job = Job { id: JobId(5), class: 900, expires: 0, hint: Some(0), slots: 0, key: 0, customer: 0 };
     rig.actions.clear();
     rig.play(Event::Arrived(job.clone()));
     assert!(rig.refused(5), "past its time already, and still answered");
