--- a/src/rules.rs
+++ b/src/rules.rs
@@ -244,19 +244,6 @@
         }
     }
 
-    /// The middle running time to expect of a job on a usual worker.
-    fn expected(&self, r: &Request) -> f64 {
-        let hint = r.job.hint.map(|h| h.max(1) as f64);
-        let log = self.learned.get(usize::from(r.job.class)).and_then(|l| l.log.0);
-        log.map_or(hint.unwrap_or(r.class.goal.max(1) as f64), |log| log.exp() * hint.unwrap_or(1.0))
-    }
-
-    /// What a job brings to its worker: slots times the mean running time; by the hint, where there is one.
-    fn work(&self, r: &Request) -> f64 {
-        let mean = self.learned.get(usize::from(r.job.class)).and_then(|l| l.mean.0);
-        mean.filter(|_| r.job.hint.is_none()).unwrap_or(self.expected(r)).max(1.0) * r.k as f64
-    }
-
     fn learn(&mut self, class: u16, kind: u16, hint: Option<Micros>, ran: Option<Micros>) {
         let Some(ran) = ran else { return };
         self.run.add(ran as f64, LEARN);
@@ -359,15 +346,11 @@
     }
 
     fn best<'a>(&self, r: &Request, of: impl Iterator<Item = &'a WorkerId>, most: i64) -> Option<WorkerId> {
-        let mut best: Option<(i64, i64, u64, WorkerId)> = None;
-        for id in of {
-            let Some(w) = self.workers.get(id) else { continue };
-            let level = self.rank(r, w, most).filter(|l| best.is_none_or(|b| *l <= b.0));
-            let (Some(level), Some(first)) = (level, self.bucket.first(*id, r.k)) else { continue };
-            let new = (level, self.price(r, w), first, *id);
-            best = Some(best.map_or(new, |b| b.min(new)));
-        }
-        best.map(|b| b.3)
+        let fit = |id: &WorkerId| {
+            let w = self.workers.get(id)?;
+            Some((self.rank(r, w, most)?, self.price(r, w), self.bucket.first(*id, r.k)?, *id))
+        };
+        of.filter_map(fit).min().map(|best| best.3)
     }
 
     /// Where no job would start at once: the most slots to wait for that a job can afford.
@@ -414,15 +397,8 @@
         }
         for (b, leg) in begun.iter().zip(0..) {
             let path = self.workers.get(&b.worker).map_or(0, |w| self.path(w));
-            let ended = if b.ran { LegState::MayHaveRun } else { LegState::NeverRan };
-            let (sent, state) = (self.now.saturating_sub(b.age), if b.out { LegState::Out } else { ended });
-            let Some(r) = self.requests.get_mut(&id) else { return };
-            r.legs.push(Leg { sent, state, ..Leg::new(b.worker, self.now, false, path) });
-            if let Some(w) = self.workers.get_mut(&b.worker).filter(|_| b.out) {
-                w.out.push((id, leg));
-                w.held += r.k;
-                self.sync(b.worker);
-            }
+            self.resume(id, leg, b, path);
+            self.sync(b.worker);
         }
         let waits = self.line_up(id, out);
         self.requests.entry(id).and_modify(|r| r.waits &= r.legs.is_empty());
--- a/src/state.rs
+++ b/src/state.rs
@@ -781,6 +781,31 @@
         [Some(Shelf::All), place, cell].into_iter().flatten().collect()
     }
 
+    /// The middle running time to expect of a job on a usual worker.
+    pub(crate) fn expected(&self, r: &Request) -> f64 {
+        let hint = r.job.hint.map(|h| h.max(1) as f64);
+        let log = self.learned.get(usize::from(r.job.class)).and_then(|l| l.log.0);
+        log.map_or(hint.unwrap_or(r.class.goal.max(1) as f64), |log| log.exp() * hint.unwrap_or(1.0))
+    }
+
+    /// What a job brings to its worker: slots times the mean running time; by the hint, where there is one.
+    pub(crate) fn work(&self, r: &Request) -> f64 {
+        let mean = self.learned.get(usize::from(r.job.class)).and_then(|l| l.mean.0);
+        mean.filter(|_| r.job.hint.is_none()).unwrap_or(self.expected(r)).max(1.0) * r.k as f64
+    }
+
+    /// Keeps an attempt that another process has made; one that is out holds its tokens here, too.
+    pub(crate) fn resume(&mut self, id: JobId, leg: u8, b: &Begun, path: usize) {
+        let ended = if b.ran { LegState::MayHaveRun } else { LegState::NeverRan };
+        let (sent, state) = (self.now.saturating_sub(b.age), if b.out { LegState::Out } else { ended });
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        r.legs.push(Leg { sent, state, ..Leg::new(b.worker, self.now, false, path) });
+        if let Some(w) = self.workers.get_mut(&b.worker).filter(|_| b.out) {
+            w.out.push((id, leg));
+            w.held += r.k;
+        }
+    }
+
     /// Attempts in flight at a worker.
     pub(crate) fn legs_at(&self, id: WorkerId) -> impl Iterator<Item = (&Request, &Leg)> {
         let out = self.workers.get(&id).into_iter().flat_map(|w| &w.out);
