Customers keep their shares: what is over is lent, and yields to who is within its share

At fault: affords() and pick(), which knew no customers; all waited alike. Change: an account for each customer, in jobs: it earns its part of the quota, a sent job costs one, a refused one nothing. Within it a job waits as long as it can afford; as it owes more it waits for less, and at the end leaves a slot free. The part is an even one of all dispatchers', or what the customer in the middle asks for here, where that is more: traffic is not spread alike. Unknown customers owe always. Accounts go over in an upgrade. Without customers nothing changes.

--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -101,6 +101,9 @@
     recent: Vec<f64>,
     classes: Vec<(Option<f64>, Option<f64>, f64)>,
     kinds: Vec<(u16, Option<f64>)>,
+    /// Versions before customers don't tell it.
+    #[serde(default)]
+    accounts: Vec<f64>,
     targets: Vec<(String, Health)>,
 }
 
@@ -117,23 +120,24 @@
 impl Learned {
     /// The module's memory as it is told; a target without a name is left out.
     pub fn from(memory: Memory, name: impl Fn(WorkerId) -> Option<String>) -> Learned {
-        let Memory { fleet, lay, recent, classes, kinds, workers } = memory;
+        let Memory { fleet, lay, recent, classes, kinds, accounts, workers } = memory;
         let target = |(id, h): (WorkerId, postusher::Health)| {
             let postusher::Health { slots, others, reported, strain, avoided, strikes } = h;
             Some((name(id)?, Health { slots, others, reported, strain, avoided, strikes }))
         };
         let targets = workers.into_iter().filter_map(target).collect();
-        Learned { fleet, lay, recent, classes, kinds, targets }
+        Learned { fleet, lay, recent, classes, kinds, accounts, targets }
     }
 
     /// And as the other module takes it.
     pub fn memory(self, id: impl Fn(&str) -> WorkerId) -> Memory {
-        let Learned { fleet, lay, recent, classes, kinds, targets } = self;
+        let Learned { fleet, lay, recent, classes, kinds, accounts, targets } = self;
         let worker = |(name, h): (String, Health)| {
             let Health { slots, others, reported, strain, avoided, strikes } = h;
             (id(&name), postusher::Health { slots, others, reported, strain, avoided, strikes })
         };
-        Memory { fleet, lay, recent, classes, kinds, workers: targets.into_iter().map(worker).collect() }
+        let workers = targets.into_iter().map(worker).collect();
+        Memory { fleet, lay, recent, classes, kinds, accounts, workers }
     }
 }
 
@@ -299,9 +303,17 @@
             recent: vec![0.5, -0.5],
             classes: vec![(Some(0.1), None, 0.2)],
             kinds: vec![(1, Some(0.3))],
+            accounts: vec![1.5, -2.0],
             workers: vec![(WorkerId(7), health), (WorkerId(8), health)],
         };
         let learned = Learned::from(memory.clone(), |id| (id.0 == 7).then(|| "s-7".to_string()));
+        let mut older = serde_json::to_value(&learned).unwrap();
+        older.as_object_mut().unwrap().remove("accounts");
+        let older: Learned = serde_json::from_value(older).unwrap();
+        assert!(
+            older.memory(|_| WorkerId(7)).accounts.is_empty(),
+            "a version before customers is understood"
+        );
         let (mut from, mut to) = (Link::default(), Link::default());
         from.tell(&Message::Learned(learned));
         let Some(Message::Learned(heard)) = to.receive(from.outbox.unsent()).pop() else { panic!() };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -221,6 +221,8 @@
     pub classes: Vec<(Option<f64>, Option<f64>, f64)>,
     /// Of each machine kind that was seen: the logarithm of its running time over the usual.
     pub kinds: Vec<(u16, Option<f64>)>,
+    /// What each customer has left of its share, in jobs.
+    pub accounts: Vec<f64>,
     /// Of each worker.
     pub workers: Vec<(WorkerId, Health)>,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,6 +36,10 @@
 const BY_STARTS: f64 = 3.0; // part of that, as a divisor, where queues are known in the mean, or to siblings
 const CROWDED: f64 = 1.4; // with so many jobs for each slot, times at a worker are mostly waiting
 const UNSEEN: f64 = 2.5; // the same by reports, for siblings tenfold: they come late, and more seldom
+const SAVED: f64 = 3.0; // seconds of its share that a customer who asks for less keeps for later, and ...
+const OWED: f64 = 8.0; // ... that one who asks for more owes at most, for what was lent to it
+const FEW: f64 = 2.0; // or so many jobs, where a dispatcher sees fewer of a customer in that time
+const SPARED: f64 = 1.0; // slots at a worker that jobs of who owes most leave free for those in their share
 const CHANCE: f64 = 1.0; // margin for what all send a cold worker, in roots of mean jobs: it's partly chance
 const COLD_SPARED: f64 = 0.3; // colder ones get jobs only when no slot is free elsewhere: most would be late
 const KEEPERS: usize = 2; // where fetches have a price, so many keep what a key needs: one may be busy
@@ -208,11 +212,6 @@
         }
     }
 
-    /// How fast machines of a worker's kind run, 1 as usual: tokens in this proportion share out the jobs.
-    fn speed(&self, w: &Worker) -> f64 {
-        (-self.kinds.get(&w.member.kind).map_or(0.0, |k| k.or(0.0))).exp().clamp(0.25, 4.0)
-    }
-
     /// Slots of a worker that others leave to us.
     fn ours(&self, w: &Worker) -> i64 {
         let (known, warmth) = (self.known(w), self.warmth(w));
@@ -267,7 +266,8 @@
         // The coldest are spared: as if one slot had to be waited for.
         let fetch = if r.lacks_at(w) { FETCH } else { 0 };
         let wait = (k - room).max(i64::from(warmth <= COLD_SPARED)) + fetch;
-        let enough = wait - (fetch - 1).max(0) <= most && (room >= k || warmth >= 1.0 && !w.on_trial());
+        let lacks = if most < 0 { k - room } else { wait - (fetch - 1).max(0) };
+        let enough = lacks <= most && (room >= k || warmth >= 1.0 && !w.on_trial());
         let allowed = match r.class.effect {
             Effect::Repeatable => true,
             // A keyed job that may have run stays with the workers that drop its repeats.
@@ -353,13 +353,31 @@
         of.filter_map(fit).min().map(|best| best.3)
     }
 
-    /// Where no job would start at once: the most slots to wait for that a job can afford.
-    fn affords(&self, r: &Request) -> i64 {
+    /// How a customer stands: 0 within its share, down to -1 where it owes as much as can be. Nothing is owed
+    /// for what is refused, so that room which nobody in its share needs is lent. Where even the customer in
+    /// the middle brings more than its even part, this dispatcher has more of the traffic than its siblings.
+    fn standing(&mut self, customer: u16) -> f64 {
+        let part = self.usual_use().clamp(1.0, self.siblings) / self.siblings;
+        let (all, n) = (&self.set.customers, usize::from(customer));
+        let Some((c, account)) = all.get(n).zip(self.accounts.get_mut(n)) else {
+            return if all.is_empty() { 0.0 } else { -1.0 };
+        };
+        let rate = c.quota * part;
+        let (saved, owed) = ((rate * SAVED).max(FEW), (rate * OWED).max(FEW));
+        account.earn(rate, self.now, -owed, saved);
+        (account.left / owed).min(0.0)
+    }
+
+    /// Where no job would start at once: the most slots to wait for that a job can afford; below 0, so many have
+    /// to be left free. Shares fit into the fleet, so what siblings send unseen yields to who is in its share.
+    fn affords(&self, r: &Request, standing: f64) -> i64 {
         // Starts tell of queues only in the mean; where nothing does, a few siblings add as much unseen.
         let blind = if self.hides { BY_STARTS } else { self.siblings.min(BY_STARTS) };
         let unseen = if self.told { 1.0 + UNSEEN * self.siblings.log10() } else { blind };
+        let unseen = if self.set.customers.is_empty() { unseen } else { 1.0 };
         let slots = AFFORD * self.slack(r, 1.0) * self.mean_slots.or(1.0) / self.run.or(1.0);
-        (slots / unseen).min(DEFAULT_TOKENS as f64) as i64
+        let slots = (slots / unseen).min(DEFAULT_TOKENS as f64);
+        (slots + standing * (slots + SPARED)).floor() as i64
     }
 
     fn send(&mut self, id: JobId, worker: WorkerId, out: &mut Vec<Action>) {
@@ -367,6 +385,8 @@
         let (Some(r), Some(w)) = (self.requests.get(&id), self.workers.get(&worker)) else { return };
         let (work, free, path) = (self.work(r), self.room(w) >= r.k, self.path(w));
         let (Some(r), Some(w)) = (self.requests.get_mut(&id), self.workers.get_mut(&worker)) else { return };
+        let account = self.accounts.get_mut(usize::from(r.job.customer)).filter(|_| r.legs.is_empty());
+        account.into_iter().for_each(|a| a.left -= 1.0);
         w.out.push((id, r.legs.len() as u8));
         r.legs.push(Leg::new(worker, self.now, free, path));
         self.bucket.seize(worker, r.k);
@@ -421,6 +441,7 @@
         let r = Request::new(job, class, keepers);
         self.most_slots = self.most_slots.max(r.k.min(DEFAULT_TOKENS));
         self.mean_k.add(r.k as f64, LEARN);
+        self.accounts.get_mut(usize::from(r.job.customer)).into_iter().for_each(|a| a.ask(self.now));
         self.retries.earn(RETRY_RATIO, RETRIES_KEPT);
         self.copies.earn(COPY_RATIO, 5.0 * COPY_RATIO);
         self.probes.earn(if self.asks { PROBE_RATIO } else { 0.0 }, 3.0 * PROBE_RATIO);
@@ -460,11 +481,12 @@
 
     /// Seizes tokens for a job, or gives it its refusal at once. Returns where it looked.
     fn place(&mut self, id: JobId, out: &mut Vec<Action>) -> Vec<WorkerId> {
+        let standing = self.requests.get(&id).map(|r| r.job.customer).map_or(0.0, |c| self.standing(c));
         let Some(r) = self.requests.get(&id) else { return Vec::new() };
         let (open, next) = (r.job.expires > self.now && self.may_send(r), self.next_for(r, LOOK));
         // What is hardly over by its deadline is not worth holding up others: it has to start at once.
         let fits = (r.job.expires - self.now.min(r.job.expires)) as f64 > self.expected(r);
-        let most = if fits { self.affords(r) } else { 0 };
+        let most = self.affords(r, standing).min(if fits { i64::MAX } else { 0 });
         match open.then(|| self.pick(r, &next, most)).flatten() {
             Some(worker) => self.send(id, worker, out),
             None => self.turn_away(id, out),
--- a/src/state.rs
+++ b/src/state.rs
@@ -225,6 +225,42 @@
     }
 }
 
+/// Over this many seconds it is counted how much customers ask for.
+const ASKED_OVER: f64 = 10.0;
+
+/// What a customer has left of its share, in jobs; below 0 it owes what was lent to it.
+#[derive(Clone, Copy, Default)]
+pub struct Account {
+    pub left: f64,
+    /// Jobs that it brought lately; each counts for less as time goes on.
+    asked: f64,
+    /// As of when.
+    at: Micros,
+    /// When `left` was last brought up; 0: never, with all saved up that can be.
+    earned: Micros,
+}
+
+impl Account {
+    /// Counts a job that the customer brings.
+    pub fn ask(&mut self, now: Micros) {
+        self.asked = self.asks(now) * ASKED_OVER + 1.0;
+        self.at = now.max(1);
+    }
+
+    /// Jobs a second that it brings, lately.
+    pub fn asks(&self, now: Micros) -> f64 {
+        let since = now.saturating_sub(self.at) as f64 / 1e6;
+        self.asked * (-since / ASKED_OVER).exp() / ASKED_OVER
+    }
+
+    /// Takes in what a share of so many jobs a second has brought since the last time, within these bounds.
+    pub fn earn(&mut self, rate: f64, now: Micros, least: f64, most: f64) {
+        let earned =
+            if self.earned == 0 { most } else { rate * now.saturating_sub(self.earned) as f64 / 1e6 };
+        (self.left, self.earned) = ((self.left + earned).clamp(least, most), now.max(1));
+    }
+}
+
 /// Of a class: mean logarithm of running time (over the hint, if any) and mean running time.
 #[derive(Default, Clone)]
 pub struct Learned {
@@ -609,6 +645,8 @@
     /// Keys whose next job may have its turn.
     pub(crate) due: Vec<u64>,
     pub(crate) learned: Vec<Learned>,
+    /// What customers have left of their shares, by number.
+    pub(crate) accounts: Vec<Account>,
     /// Running time over what is expected, as a logarithm, by kind of machine.
     pub(crate) kinds: BTreeMap<u16, Mean>,
     pub(crate) siblings: f64,
@@ -673,6 +711,7 @@
             recent: self.recent.0.iter().copied().collect(),
             classes: self.learned.iter().map(|l| (l.log.0, l.mean.0, l.full)).collect(),
             kinds: self.kinds.iter().map(|(kind, mean)| (*kind, mean.0)).collect(),
+            accounts: self.accounts.iter().map(|a| a.left).collect(),
             workers,
         }
     }
@@ -688,6 +727,9 @@
             *l = Learned { log: Mean(*log), mean: Mean(*mean), full: *full };
         }
         self.kinds = memory.kinds.iter().map(|(kind, mean)| (*kind, Mean(*mean))).collect();
+        for (account, left) in self.accounts.iter_mut().zip(&memory.accounts) {
+            *account = Account { left: *left, earned: self.now.max(1), ..*account };
+        }
         for (id, h) in &memory.workers {
             let Some(w) = self.workers.get_mut(id) else { continue };
             (w.slots, w.others, w.strain, w.strikes) = (h.slots, h.others, h.strain, h.strikes);
@@ -705,6 +747,7 @@
         let told = set.fields.iter().any(|f| matches!(f, Field::Queue | Field::Jobs));
         Dispatcher {
             learned: vec![Learned::default(); set.classes.len()],
+            accounts: vec![Account::default(); set.customers.len()],
             classes: set.classes.iter().cloned().map(Arc::new).collect(),
             told,
             hides: set.tells_start && !told,
@@ -794,6 +837,19 @@
         mean.filter(|_| r.job.hint.is_none()).unwrap_or(self.expected(r)).max(1.0) * r.k as f64
     }
 
+    /// How fast machines of a worker's kind run, 1 as usual: tokens in this proportion share out the jobs.
+    pub(crate) fn speed(&self, w: &Worker) -> f64 {
+        (-self.kinds.get(&w.member.kind).map_or(0.0, |k| k.or(0.0))).exp().clamp(0.25, 4.0)
+    }
+
+    /// How much of a dispatcher's even part of its share the customer in the middle asks for here: of few, the lower.
+    pub(crate) fn usual_use(&self) -> f64 {
+        let shares = self.set.customers.iter().map(|c| c.quota / self.siblings).zip(&self.accounts);
+        let uses: Vec<f64> = shares.filter(|s| s.0 > 0.0).map(|(part, a)| a.asks(self.now) / part).collect();
+        let middle = uses.len().saturating_sub(1) / 2;
+        nth(uses, middle).unwrap_or(0.0)
+    }
+
     /// Keeps an attempt that another process has made; one that is out holds its tokens here, too.
     pub(crate) fn resume(&mut self, id: JobId, leg: u8, b: &Begun, path: usize) {
         let ended = if b.ran { LegState::MayHaveRun } else { LegState::NeverRan };
@@ -815,6 +871,16 @@
         })
     }
 
+    pub fn room_of(&self, w: WorkerId) -> (i64, i64, i64, Option<i64>, i64) {
+        let w = &self.workers[&w];
+        (
+            self.room(w),
+            w.held,
+            (w.others * 100.0) as i64,
+            w.usual.0.map(|u| (u * 100.0) as i64),
+            ((self.now - w.reported) / 1000) as i64,
+        )
+    }
     /// How many workers are kept in mind.
     pub fn known_workers(&self) -> usize {
         self.workers.len()
--- /dev/null
+++ b/tests/customers.rs
@@ -0,0 +1,271 @@
+//! Customers and their shares: whoever keeps to its share is served, whatever others send; what is left is lent.
+
+mod common;
+
+use common::*;
+use postusher::*;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+/// Running time of every job.
+const RUN: Micros = S;
+
+/// A fleet of workers of four slots, with two places to wait each, between several dispatchers, in virtual time. It
+/// shares no code with the module: a worker starts what fits, keeps two, and turns away the rest.
+struct Fleet {
+    dispatchers: Vec<Dispatcher>,
+    /// Of each worker: when each of its jobs, running or waiting, will be over.
+    busy: Vec<Vec<Micros>>,
+    now: Micros,
+    jobs: u32,
+    /// Ends to come, by time: dispatcher, job, attempt, worker and when it was sent.
+    ends: BTreeMap<(Micros, u32), (usize, JobId, u8, u32, Micros)>,
+    timers: BTreeMap<(Micros, u32), (usize, u64)>,
+    count: u32,
+    owner: BTreeMap<u32, u16>,
+    /// The number of each job's latest attempt.
+    legs: BTreeMap<u32, u8>,
+    /// Asked, served within two running times, and turned away, by customer.
+    asked: BTreeMap<u16, u32>,
+    served: BTreeMap<u16, u32>,
+}
+
+const SLOTS: usize = 4;
+
+impl Fleet {
+    fn new(workers: u32, dispatchers: u32, quotas: &[f64]) -> Fleet {
+        let customers = quotas.iter().map(|quota| Customer { quota: *quota }).collect();
+        let set = Settings {
+            classes: vec![Class { stretch: 1.0, ..Class::new(Effect::Once, RUN) }],
+            customers,
+            siblings: dispatchers,
+            probes: true,
+            tells_start: true,
+            ..settings()
+        };
+        let now = 100 * S;
+        let mut fleet = Fleet {
+            dispatchers: (0..dispatchers).map(|n| Dispatcher::new(set.clone(), u64::from(n), now)).collect(),
+            busy: vec![Vec::new(); workers as usize],
+            now,
+            jobs: 0,
+            ends: BTreeMap::new(),
+            timers: BTreeMap::new(),
+            count: 0,
+            owner: BTreeMap::new(),
+            legs: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            served: BTreeMap::new(),
+        };
+        for d in 0..fleet.dispatchers.len() {
+            let members = (0..workers).map(member).collect();
+            fleet.play(d, Event::Members { kind: ListKind::Cached, members });
+        }
+        fleet
+    }
+
+    fn report(&self, worker: u32) -> Vec<f64> {
+        let held = self.busy[worker as usize].len();
+        vec![SLOTS.saturating_sub(held) as f64, held.saturating_sub(SLOTS) as f64]
+    }
+
+    fn play(&mut self, d: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.dispatchers[d].handle(event, self.now, &mut actions);
+        for action in actions {
+            self.count += 1;
+            match action {
+                Action::Wake { after, cookie } => {
+                    self.timers.insert((self.now + after.max(1), self.count), (d, cookie));
+                }
+                Action::Probe { worker } => {
+                    let report = self.report(worker.0);
+                    self.play(d, Event::Probed { worker, ending: Ending::Ok, report });
+                }
+                Action::Send { job, worker, .. } => self.send(d, job, worker.0),
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, d: usize, job: JobId, worker: u32) {
+        let leg = self.legs.entry(job.0).and_modify(|leg| *leg += 1).or_default();
+        let (leg, busy) = (*leg, &mut self.busy[worker as usize]);
+        if busy.len() >= SLOTS + 2 {
+            let o = Outcome { job, leg, ending: Ending::Full, latency: MS, done: false, report: Vec::new() };
+            return self.play(d, Event::Settled(o));
+        }
+        busy.sort_unstable();
+        let start = if busy.len() < SLOTS { self.now } else { busy[busy.len() - SLOTS] };
+        busy.push(start + RUN);
+        self.ends.insert((start + RUN, self.count), (d, job, leg, worker, self.now));
+        if start == self.now {
+            self.play(d, Event::Started { job, leg });
+        }
+    }
+
+    /// Plays all that is due until then.
+    fn until(&mut self, end: Micros) {
+        loop {
+            let (due, timer) = (self.ends.keys().next().copied(), self.timers.keys().next().copied());
+            let next = due.into_iter().chain(timer).min().filter(|at| at.0 <= end);
+            let Some(at) = next else { break };
+            self.now = at.0.max(self.now);
+            if let Some((d, job, leg, worker, sent)) = self.ends.remove(&at) {
+                let busy = &mut self.busy[worker as usize];
+                let gone = busy.iter().position(|over| *over == at.0);
+                gone.map(|n| busy.remove(n));
+                let (latency, report) = (self.now - sent, Vec::new());
+                if latency <= 2 * RUN {
+                    *self.served.entry(self.owner[&job.0]).or_default() += 1;
+                }
+                let o = Outcome { job, leg, ending: Ending::Ok, latency, done: true, report };
+                self.play(d, Event::Settled(o));
+            } else if let Some((d, cookie)) = self.timers.remove(&at) {
+                self.play(d, Event::Timer(cookie));
+            }
+        }
+        self.now = end;
+    }
+
+    fn job(&mut self, d: usize, customer: u16) {
+        self.jobs += 1;
+        let (id, expires) = (JobId(self.jobs), self.now + 8 * S);
+        self.owner.insert(id.0, customer);
+        *self.asked.entry(customer).or_default() += 1;
+        self.play(d, Event::Arrived(Job { id, class: 0, expires, hint: None, slots: 1, key: 0, customer }));
+    }
+
+    /// Jobs of each customer at a steady rate for so many seconds, from a fixed seed, over all dispatchers.
+    fn run(&mut self, seconds: u64, rates: &[f64], skew: f64, seed: u64) {
+        let mut rng = Lcg(seed);
+        let total: f64 = rates.iter().sum();
+        let end = self.now + seconds * S;
+        let mut at = self.now;
+        loop {
+            at += (-(1.0 - rng.next()).ln() / total * S as f64) as Micros;
+            if at >= end {
+                break;
+            }
+            self.until(at);
+            let mut left = rng.next() * total;
+            let of = rates.iter().position(|r| {
+                left -= r;
+                left < 0.0
+            });
+            // The first dispatcher has so much more of the traffic than the others.
+            let n = self.dispatchers.len() as f64;
+            let first = rng.next() < (1.0 + skew) / n;
+            let d = if first || n < 2.0 { 0 } else { 1 + (rng.next() * (n - 1.0)) as usize };
+            self.job(d, of.unwrap_or(0) as u16);
+        }
+        self.until(end + 4 * RUN);
+    }
+
+    fn part(&self, customer: u16) -> f64 {
+        let served = self.served.get(&customer).copied().unwrap_or(0);
+        f64::from(served) / f64::from(self.asked.get(&customer).copied().unwrap_or(0).max(1))
+    }
+}
+
+/// Numbers by chance, the same on every machine.
+struct Lcg(u64);
+
+impl Lcg {
+    fn next(&mut self) -> f64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+// Ten workers of four slots run 40 jobs a second; the shares of 3 customers are 60% of that.
+const QUOTAS: [f64; 3] = [10.0, 7.0, 7.0];
+
+/// Plays ten seconds in which all is learned, then so many that count.
+fn after_a_start(siblings: u32, quotas: &[f64], rates: &[f64], skew: f64, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(10, siblings, quotas);
+    fleet.run(10, rates, skew, seed);
+    (fleet.asked, fleet.served) = Default::default();
+    fleet.run(30, rates, skew, seed + 100);
+    fleet
+}
+
+#[test]
+fn who_keeps_to_its_share_is_served_beside_one_that_floods() {
+    for (siblings, seed) in [(1, 1), (3, 2), (3, 3)] {
+        let fleet = after_a_start(siblings, &QUOTAS, &[60.0, 6.0, 6.0], 0.0, seed);
+        let [flood, one, other] = [0, 1, 2].map(|c| fleet.part(c));
+        assert!(one > 0.97 && other > 0.97, "{siblings} dispatchers: {flood:.2}, {one:.2}, {other:.2}");
+        let rate = f64::from(fleet.served[&0]) / 30.0;
+        assert!(rate > 1.5 * QUOTAS[0], "its share and what is left go to the one that floods: {rate:.1}");
+    }
+}
+
+#[test]
+fn without_customers_all_are_turned_away_alike_beside_one_that_floods() {
+    let fleet = after_a_start(3, &[], &[60.0, 6.0, 6.0], 0.0, 2);
+    let [flood, one, other] = [0, 1, 2].map(|c| fleet.part(c));
+    assert!(one < 0.8 && other < 0.8 && (flood - one).abs() < 0.15, "{flood:.2}, {one:.2}, {other:.2}");
+}
+
+#[test]
+fn room_that_nobody_in_its_share_needs_is_lent() {
+    let fleet = after_a_start(3, &QUOTAS, &[24.0, 0.5, 0.5], 0.0, 4);
+    assert!(fleet.part(0) > 0.9, "2.4 times its share, of an idle fleet: {:.2}", fleet.part(0));
+}
+
+#[test]
+fn a_customer_that_the_settings_do_not_have_takes_nothing_from_the_others() {
+    let fleet = after_a_start(3, &QUOTAS, &[0.0, 6.0, 6.0, 0.0, 60.0], 0.0, 5);
+    assert!(fleet.part(1) > 0.97 && fleet.part(2) > 0.97, "{:.2}, {:.2}", fleet.part(1), fleet.part(2));
+    assert!(fleet.part(4) > 0.2, "and is lent what is left: {:.2}", fleet.part(4));
+}
+
+/// Guards against: an even part of each share at a dispatcher that has more than an even part of the traffic.
+#[test]
+fn a_dispatcher_with_more_of_the_traffic_grants_shares_to_match() {
+    for seed in [6, 7] {
+        let fleet = after_a_start(3, &QUOTAS, &[60.0, 6.0, 6.0], 0.8, seed);
+        assert!(fleet.part(1) > 0.95 && fleet.part(2) > 0.95, "{:.2}, {:.2}", fleet.part(1), fleet.part(2));
+    }
+}
+
+#[test]
+fn what_was_lent_is_forgotten_in_a_stated_time() {
+    let mut fleet = Fleet::new(10, 1, &QUOTAS);
+    fleet.run(30, &[60.0, 6.0, 6.0], 0.0, 7);
+    // It keeps to its share now; 16 s later nothing is held against it.
+    fleet.run(12, &[5.0, 6.0, 6.0], 0.0, 8);
+    (fleet.asked, fleet.served) = Default::default();
+    fleet.run(20, &[9.0, 6.0, 60.0], 0.0, 9);
+    assert!(fleet.part(0) > 0.95 && fleet.part(1) > 0.97, "{:.2}, {:.2}", fleet.part(0), fleet.part(1));
+}
+
+#[test]
+fn what_a_customer_owes_goes_over_to_the_next_process() {
+    let set = Settings { customers: vec![Customer { quota: 1.0 }; 2], ..settings() };
+    let mut old = Rig::new(set.clone(), 4);
+    for id in 1..=6 {
+        assert!(old.job(id, 0, 1).is_some(), "nobody else needs the room");
+        old.settle(id, 0, Ending::Ok);
+    }
+    let mut new = Rig::new(set, 4);
+    new.play(Event::Learned(old.dispatcher.memory()));
+    assert_eq!(new.dispatcher.memory().accounts, old.dispatcher.memory().accounts);
+    assert!(new.dispatcher.memory().accounts[0] < 0.0);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+
+    /// Whatever one customer sends, the others are served within their shares.
+    #[test]
+    fn nobody_can_take_what_belongs_to_others(
+        flood in 0.0f64..120.0, one in 0.2f64..0.9, other in 0.2f64..0.9, seed in 0u64..1 << 40
+    ) {
+        let fleet = after_a_start(2, &QUOTAS, &[flood, one * QUOTAS[1], other * QUOTAS[2]], 0.0, seed);
+        for c in [1, 2] {
+            prop_assert!(fleet.part(c) > 0.9, "{c} beside {flood:.0} a second: {:.2}", fleet.part(c));
+        }
+    }
+}
