--- a/tests/customers.rs
+++ b/tests/customers.rs
@@ -10,6 +10,15 @@
 /// Running time of every job.
 const RUN: Micros = S;
 
+/// An attempt that will end.
+struct End {
+    dispatcher: usize,
+    job: JobId,
+    leg: u8,
+    worker: u32,
+    sent: Micros,
+}
+
 /// A fleet of workers of four slots, with two places to wait each, between several dispatchers, in virtual time. It
 /// shares no code with the module: a worker starts what fits, keeps two, and turns away the rest.
 struct Fleet {
@@ -18,8 +27,8 @@
     busy: Vec<Vec<Micros>>,
     now: Micros,
     jobs: u32,
-    /// Ends to come, by time: dispatcher, job, attempt, worker and when it was sent.
-    ends: BTreeMap<(Micros, u32), (usize, JobId, u8, u32, Micros)>,
+    /// Ends to come, by time and in order.
+    ends: BTreeMap<(Micros, u32), End>,
     timers: BTreeMap<(Micros, u32), (usize, u64)>,
     count: u32,
     owner: BTreeMap<u32, u16>,
@@ -98,7 +107,7 @@
         busy.sort_unstable();
         let start = if busy.len() < SLOTS { self.now } else { busy[busy.len() - SLOTS] };
         busy.push(start + RUN);
-        self.ends.insert((start + RUN, self.count), (d, job, leg, worker, self.now));
+        self.ends.insert((start + RUN, self.count), End { dispatcher: d, job, leg, worker, sent: self.now });
         if start == self.now {
             self.play(d, Event::Started { job, leg });
         }
@@ -111,7 +120,7 @@
             let next = due.into_iter().chain(timer).min().filter(|at| at.0 <= end);
             let Some(at) = next else { break };
             self.now = at.0.max(self.now);
-            if let Some((d, job, leg, worker, sent)) = self.ends.remove(&at) {
+            if let Some(End { dispatcher, job, leg, worker, sent }) = self.ends.remove(&at) {
                 let busy = &mut self.busy[worker as usize];
                 let gone = busy.iter().position(|over| *over == at.0);
                 gone.map(|n| busy.remove(n));
@@ -120,7 +129,7 @@
                     *self.served.entry(self.owner[&job.0]).or_default() += 1;
                 }
                 let o = Outcome { job, leg, ending: Ending::Ok, latency, done: true, report };
-                self.play(d, Event::Settled(o));
+                self.play(dispatcher, Event::Settled(o));
             } else if let Some((d, cookie)) = self.timers.remove(&at) {
                 self.play(d, Event::Timer(cookie));
             }
