--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -303,6 +303,11 @@
         Ok(id)
     }
 
+    /// Jobs of each customer that were sent over its share.
+    pub fn over_share(&self) -> Vec<u64> {
+        self.module.lent().collect()
+    }
+
     /// What the module has learned.
     pub fn memory(&self) -> Memory {
         self.module.memory()
@@ -572,7 +577,8 @@
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
         r.answered = true;
         if !matches!(answer, Answer::Served(_)) {
-            log::debug!("{} of class {}, {} slots: {answer:?}", r.trace, r.job.class, r.job.slots);
+            let intake::Job { class, customer, slots, .. } = &r.job;
+            log::debug!("{} of class {class}, customer {customer}, {slots} slots: {answer:?}", r.trace);
         }
         let (how, trace) = (answer.kind(), r.trace.clone());
         self.figures.ended(r.job.class, r.job.customer, how);
--- a/node/src/event_loop/managers.rs
+++ b/node/src/event_loop/managers.rs
@@ -145,6 +145,7 @@
             in_flight: self.dispatch.unanswered(),
             workers_known: self.group.listed().count(),
             workers_excluded: avoided,
+            over_share: self.dispatch.over_share(),
             waiting,
         })
     }
--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -29,13 +29,6 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Ended([u64; 3]);
 
-impl From<&Ended> for ByEnd {
-    fn from(ended: &Ended) -> ByEnd {
-        let [served, refused, failed] = ended.0;
-        ByEnd { served, refused, failed }
-    }
-}
-
 /// All counters. Each counts where the thing becomes true: a job at its final answer, an attempt when its last byte
 /// is written.
 #[derive(Debug)]
@@ -58,7 +51,7 @@
 }
 
 /// What is not counted but looked up when the figures are asked for.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Serialize)]
 pub struct Gauges {
     /// Jobs taken and not ended.
     pub in_flight: usize,
@@ -66,6 +59,9 @@
     pub workers_known: usize,
     /// Those of them that are avoided, by hand or by the module's choice.
     pub workers_excluded: usize,
+    /// Jobs of each customer that were sent over its share.
+    #[serde(skip)]
+    pub over_share: Vec<u64>,
     /// Of the waiting room, where there is one.
     #[serde(flatten)]
     pub waiting: Option<WaitingGauges>,
@@ -100,6 +96,9 @@
 /// A customer's jobs by how they ended.
 #[derive(Serialize)]
 struct ByEnd {
+    /// Not told of customers that the settings don't have.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    over_share: Option<u64>,
     served: u64,
     refused: u64,
     failed: u64,
@@ -144,11 +143,16 @@
     pub fn json(&self, gauges: Gauges) -> String {
         let by_class =
             |how: Final| self.classes.iter().map(|(n, e)| (n.as_str(), e.0[how as usize])).collect();
+        let over_share = gauges.over_share.iter().copied().map(Some).chain(std::iter::repeat(None));
+        let customers = self.customers.iter().zip(over_share).map(|((name, ended), over_share)| {
+            let [served, refused, failed] = ended.0;
+            (name.as_str(), ByEnd { over_share, served, refused, failed })
+        });
         let stats = Stats {
             served: by_class(Final::Served),
             refused: by_class(Final::Refused),
             failed: by_class(Final::Failed),
-            customers: self.customers.iter().map(|(name, ended)| (name.as_str(), ended.into())).collect(),
+            customers: customers.collect(),
             attempts: self.attempts,
             gauges,
             reloads_ok: self.reloads_ok,
@@ -168,7 +172,7 @@
         let classes = [("render".to_string(), 1.0), ("fund".to_string(), 1.0)];
         let mut figures = Figures::new(&classes, &[]);
         let shown = |f: &Figures| {
-            let gauges = Gauges { in_flight: 3, workers_known: 12, workers_excluded: 1, waiting: None };
+            let gauges = Gauges { in_flight: 3, workers_known: 12, workers_excluded: 1, ..Gauges::default() };
             serde_json::from_str::<Value>(&f.json(gauges)).unwrap()
         };
         let none = json!({"render": 0, "fund": 0});
@@ -203,12 +207,12 @@
         figures.ended(0, 1, Final::Refused);
         figures.ended(0, 2, Final::Failed);
         figures.ended(0, u16::MAX, Final::Failed);
-        let shown: Value = serde_json::from_str(&figures.json(Gauges::default())).unwrap();
-        let of = |served: u64, refused: u64, failed: u64| json!({"served": served, "refused": refused, "failed": failed});
-        assert_eq!(
-            shown["customers"],
-            json!({"acme": of(0, 0, 0), "zeta": of(1, 1, 0), "(others)": of(0, 0, 2)})
-        );
+        let gauges = Gauges { over_share: vec![0, 7], ..Gauges::default() };
+        let shown: Value = serde_json::from_str(&figures.json(gauges)).unwrap();
+        let acme = json!({"served": 0, "refused": 0, "failed": 0, "over_share": 0});
+        let zeta = json!({"served": 1, "refused": 1, "failed": 0, "over_share": 7});
+        let others = json!({"served": 0, "refused": 0, "failed": 2});
+        assert_eq!(shown["customers"], json!({"acme": acme, "zeta": zeta, "(others)": others}));
         assert_eq!(figures.total(Final::Failed), 2, "and each once by its class");
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -386,7 +386,7 @@
         let (work, free, path) = (self.work(r), self.room(w) >= r.k, self.path(w));
         let (Some(r), Some(w)) = (self.requests.get_mut(&id), self.workers.get_mut(&worker)) else { return };
         let account = self.accounts.get_mut(usize::from(r.job.customer)).filter(|_| r.legs.is_empty());
-        account.into_iter().for_each(|a| a.left -= 1.0);
+        account.into_iter().for_each(Account::spend);
         w.out.push((id, r.legs.len() as u8));
         r.legs.push(Leg::new(worker, self.now, free, path));
         self.bucket.seize(worker, r.k);
--- a/src/state.rs
+++ b/src/state.rs
@@ -234,6 +234,8 @@
     pub left: f64,
     /// Jobs that it brought lately; each counts for less as time goes on.
     asked: f64,
+    /// Jobs that were sent on room lent to it, since the start.
+    pub lent: u64,
     /// As of when.
     at: Micros,
     /// When `left` was last brought up; 0: never, with all saved up that can be.
@@ -241,6 +243,12 @@
 }
 
 impl Account {
+    /// Takes off a job that is sent.
+    pub fn spend(&mut self) {
+        self.left -= 1.0;
+        self.lent += u64::from(self.left < 0.0);
+    }
+
     /// Counts a job that the customer brings.
     pub fn ask(&mut self, now: Micros) {
         self.asked = self.asks(now) * ASKED_OVER + 1.0;
@@ -881,6 +889,12 @@
             ((self.now - w.reported) / 1000) as i64,
         )
     }
+    /// Jobs of each customer that were sent on room lent to it; jobs of customers that the settings don't have are not
+    /// counted.
+    pub fn lent(&self) -> impl Iterator<Item = u64> + '_ {
+        self.accounts.iter().map(|account| account.lent)
+    }
+
     /// How many workers are kept in mind.
     pub fn known_workers(&self) -> usize {
         self.workers.len()
