--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod rules;
 pub mod scenario;
 pub mod schedulers;
+pub mod virtual_net;
 pub mod wire;
 pub mod workers;
--- /dev/null
+++ b/lab/tests/members.rs
@@ -0,0 +1,426 @@
+//! Members over a modelled network in virtual time: pauses, lost messages, cuts of every kind, mass events. Seeds are
+//! fixed, and so is everything that happens.
+
+use postusher_lab::virtual_net::{Links, Net, Seen};
+use postusher_members::{Devices, Standing};
+
+/// The probe interval.
+const INTERVAL: f64 = 1_000.0;
+const NO_DEVICE_LESS: fn() -> Devices = Devices::default;
+
+fn all(n: usize) -> Vec<usize> {
+    (0..n).collect()
+}
+
+/// Removals of members that ran.
+fn wrong(net: &Net, right: &[usize]) -> Vec<Seen> {
+    let gone = |s: &&Seen| s.standing == Standing::Gone && !right.contains(&s.of);
+    net.seen.iter().filter(gone).cloned().collect()
+}
+
+/// When the last of those that run knew that one is gone, in intervals from then.
+fn known_after(net: &Net, of: usize, from: f64, by: &[usize]) -> Option<f64> {
+    let first =
+        |n: &usize| net.seen.iter().find(|s| s.by == *n && s.of == of && s.standing == Standing::Gone);
+    let all: Option<Vec<f64>> = by.iter().map(|n| first(n).map(|s| s.at)).collect();
+    all.map(|all| (all.into_iter().fold(0.0, f64::max) - from) / INTERVAL)
+}
+
+#[test]
+fn a_cluster_comes_together_and_stays_so() {
+    for n in [1, 2, 3, 10, 40] {
+        let mut net = Net::settled(n, 3, 1, NO_DEVICE_LESS());
+        assert!(net.agree(), "{n} members");
+        net.run(60_000.0);
+        assert_eq!(net.seen, vec![], "{n} members");
+        assert!((0..n).all(|i| !net.machine(i).is_minority()));
+    }
+}
+
+#[test]
+fn a_crash_is_known_everywhere_within_eight_intervals() {
+    for (n, bound) in [(3, 8.0), (10, 8.0), (40, 9.0)] {
+        for seed in 0..5 {
+            let mut net = Net::settled(n, 3, seed, NO_DEVICE_LESS());
+            let at = net.now();
+            net.kill(1);
+            net.run(20_000.0);
+            let rest: Vec<usize> = all(n).into_iter().filter(|i| *i != 1).collect();
+            let known = known_after(&net, 1, at, &rest).expect("all know");
+            assert!(known <= bound && net.agree(), "{n} members, seed {seed}: {known:.1} intervals");
+            assert_eq!(wrong(&net, &[1]), vec![]);
+        }
+    }
+}
+
+#[test]
+fn who_starts_again_is_back_under_a_higher_incarnation() {
+    let mut net = Net::settled(5, 3, 3, NO_DEVICE_LESS());
+    let before = net.machine(0).record("m0002").unwrap().incarnation;
+    // At once, while all believe in the process before it; and after it was found to be gone.
+    for pause in [0.0, 20_000.0] {
+        net.kill(2);
+        net.run(pause);
+        net.start(2);
+        net.run(10_000.0);
+        assert!(net.agree(), "after {pause}");
+    }
+    assert!(net.machine(0).record("m0002").unwrap().incarnation >= before + 2);
+    assert_eq!(net.machine(0).figures().false_removals, 0, "the one that was gone had ended");
+}
+
+#[test]
+fn who_leaves_says_so_and_nobody_accuses_it() {
+    let mut net = Net::settled(10, 3, 4, NO_DEVICE_LESS());
+    net.leave(4);
+    net.run(3_000.0);
+    assert!(net.agree());
+    assert!(net.seen.iter().all(|s| s.standing == Standing::Left), "{:?}", net.seen);
+    net.start(4);
+    net.run(5_000.0);
+    assert!(net.agree(), "and may come back");
+}
+
+#[test]
+fn a_pause_shorter_than_the_suspicion_changes_nothing_and_a_longer_one_only_its_own_standing() {
+    for (pause, removed) in [(500.0, false), (4_500.0, false), (12_000.0, true), (30_000.0, true)] {
+        for seed in 0..4 {
+            let mut net = Net::settled(8, 3, seed, NO_DEVICE_LESS());
+            let before = net.machine(0).record("m0003").unwrap().incarnation;
+            net.stop(3);
+            net.run(pause);
+            net.go_on(3);
+            net.run(15_000.0);
+            assert_eq!(wrong(&net, &[3]), vec![], "{pause} ms: a sleeper throws out nobody");
+            let gone = net.seen.iter().any(|s| s.of == 3 && s.standing == Standing::Gone);
+            assert_eq!(gone, removed, "{pause} ms, seed {seed}");
+            assert!(net.agree(), "{pause} ms, seed {seed}");
+            let after = net.machine(0).record("m0003").unwrap().incarnation;
+            assert!(!removed || after > before, "back under a higher incarnation");
+        }
+    }
+}
+
+#[test]
+fn a_machine_with_a_part_of_a_core_is_not_removed_and_removes_nobody() {
+    let mut net = Net::settled(8, 3, 5, NO_DEVICE_LESS());
+    net.slow(2, 900.0);
+    net.run(60_000.0);
+    assert_eq!(net.seen, vec![]);
+}
+
+#[test]
+fn loss_delay_doubling_and_reordering_remove_nobody() {
+    let bad = Links { loss: 0.3, twice: 0.1, delay: (150.0, 450.0) };
+    for (n, seed, minutes) in [(3, 1, 60.0), (5, 2, 40.0), (10, 3, 30.0), (30, 4, 5.0)] {
+        let mut net = Net::settled(n, 3, seed, NO_DEVICE_LESS());
+        net.links(bad);
+        net.run(minutes * 60_000.0);
+        assert_eq!(wrong(&net, &[]), vec![], "{n} members");
+        let at = net.now();
+        net.kill(1);
+        net.run(30_000.0);
+        let rest: Vec<usize> = all(n).into_iter().filter(|i| *i != 1).collect();
+        let known = known_after(&net, 1, at, &rest).expect("a real crash is known all the same");
+        assert!(known <= 14.0, "{n} members: {known:.1} intervals");
+    }
+}
+
+#[test]
+fn a_link_cut_one_way_or_both_between_two_changes_nothing() {
+    for both in [false, true] {
+        let mut net = Net::settled(6, 3, 6, NO_DEVICE_LESS());
+        net.cut(0, 1);
+        if both {
+            net.cut(1, 0);
+        }
+        net.run(120_000.0);
+        assert_eq!(net.seen, vec![], "both ways: {both}");
+    }
+}
+
+#[test]
+fn a_ring_in_which_each_lacks_one_other_changes_nothing() {
+    let mut net = Net::settled(6, 3, 7, NO_DEVICE_LESS());
+    for i in 0..6 {
+        net.cut(i, (i + 1) % 6);
+        net.cut((i + 1) % 6, i);
+    }
+    net.run(120_000.0);
+    assert_eq!(net.seen, vec![]);
+}
+
+#[test]
+fn a_member_that_only_sends_or_only_hears_is_removed_and_removes_nobody() {
+    for deaf in [true, false] {
+        let mut net = Net::settled(7, 3, 8, NO_DEVICE_LESS());
+        let others: Vec<usize> = (1..7).collect();
+        if deaf {
+            net.cut_all(&others, &[0]);
+        } else {
+            net.cut_all(&[0], &others);
+        }
+        net.run(120_000.0);
+        assert_eq!(wrong(&net, &[0]), vec![]);
+        assert!(others.iter().all(|n| !net.there(*n).contains(&0)), "deaf: {deaf}");
+        assert!(net.machine(0).is_minority(), "and it knows that it is alone");
+        assert!(net.changes(|by| by != 0) <= 6, "one change of view for each, no flapping: {:?}", net.seen);
+        net.heal();
+        net.run(60_000.0);
+        assert!(net.agree(), "deaf: {deaf}");
+    }
+}
+
+#[test]
+fn a_member_cut_off_from_one_zone_only_stays() {
+    let mut net = Net::settled(9, 3, 9, NO_DEVICE_LESS());
+    net.cut_all(&[0], &[1, 4, 7]);
+    net.cut_all(&[1, 4, 7], &[0]);
+    net.run(120_000.0);
+    assert_eq!(net.seen, vec![]);
+}
+
+#[test]
+fn a_zone_cut_off_whole_is_removed_by_the_larger_side_and_the_smaller_knows_that_it_is() {
+    let zone = [0, 3, 6];
+    let rest = [1, 2, 4, 5, 7, 8];
+    for (out, back) in [(true, true), (true, false), (false, true)] {
+        let mut net = Net::settled(9, 3, 10, NO_DEVICE_LESS());
+        if out {
+            net.cut_all(&zone, &rest);
+        }
+        if back {
+            net.cut_all(&rest, &zone);
+        }
+        net.run(120_000.0);
+        assert_eq!(wrong(&net, &zone), vec![], "the smaller side removes nobody");
+        for n in rest {
+            assert_eq!(net.there(n).into_iter().collect::<Vec<_>>(), rest, "those who hear each other agree");
+            assert!(!net.machine(n).is_minority());
+            assert!(net.changes(|by| by == n) <= zone.len(), "one change for each that went");
+        }
+        assert!(zone.iter().all(|n| net.machine(*n).is_minority()), "out {out}, back {back}");
+        net.heal();
+        net.run(90_000.0);
+        assert!(net.agree() && zone.iter().all(|n| !net.machine(*n).is_minority()), "out {out}, back {back}");
+    }
+}
+
+#[test]
+fn of_two_halves_neither_removes_the_other_and_they_come_together_after_an_hour() {
+    let mut net = Net::settled(8, 2, 11, NO_DEVICE_LESS());
+    let (a, b) = ([0, 2, 4, 6], [1, 3, 5, 7]);
+    net.cut_all(&a, &b);
+    net.cut_all(&b, &a);
+    net.run(3_600_000.0);
+    assert_eq!(net.seen, vec![]);
+    assert!((0..8).all(|n| net.machine(n).is_minority()));
+    net.heal();
+    net.run(60_000.0);
+    assert!(net.agree() && (0..8).all(|n| !net.machine(n).is_minority()));
+}
+
+#[test]
+fn a_split_in_which_one_side_went_on_heals_after_an_hour() {
+    let mut net = Net::settled(9, 3, 12, NO_DEVICE_LESS());
+    let (zone, rest) = ([0, 3, 6], [1, 2, 4, 5, 7, 8]);
+    net.cut_all(&zone, &rest);
+    net.cut_all(&rest, &zone);
+    net.run(3_600_000.0);
+    net.heal();
+    net.run(90_000.0);
+    assert!(net.agree());
+    assert!(net.machine(1).figures().false_removals >= 3, "known to have been wrong");
+}
+
+#[test]
+fn most_started_in_one_moment_come_together() {
+    let mut net = Net::new(60, 3, 13, NO_DEVICE_LESS());
+    (0..6).for_each(|n| net.start(n));
+    net.run(10_000.0);
+    (6..60).for_each(|n| net.start(n));
+    net.run(30_000.0);
+    assert!(net.agree());
+    assert_eq!(wrong(&net, &[]), vec![]);
+}
+
+#[test]
+fn seven_in_ten_killed_at_once_are_missed_by_the_rest_and_come_back() {
+    let mut net = Net::settled(20, 3, 14, NO_DEVICE_LESS());
+    (0..14).for_each(|n| net.kill(n));
+    net.run(60_000.0);
+    assert!((14..20).all(|n| net.machine(n).is_minority()), "they cannot know that they were not cut off");
+    assert_eq!(wrong(&net, &[]), vec![]);
+    (0..14).for_each(|n| net.start(n));
+    net.run(60_000.0);
+    assert!(net.agree() && (0..20).all(|n| !net.machine(n).is_minority()));
+}
+
+#[test]
+fn a_rolling_restart_removes_nobody_that_runs() {
+    let mut net = Net::settled(20, 3, 15, NO_DEVICE_LESS());
+    for tenth in 0..10 {
+        let these = [2 * tenth, 2 * tenth + 1];
+        these.iter().for_each(|n| net.leave(*n));
+        net.run(1_500.0);
+        these.iter().for_each(|n| net.start(*n));
+        net.run(3_000.0);
+    }
+    net.run(20_000.0);
+    assert!(net.agree());
+    assert_eq!(wrong(&net, &[]), vec![]);
+}
+
+#[test]
+fn a_name_used_twice_ends_the_second_which_says_so() {
+    let mut net = Net::new(6, 3, 16, NO_DEVICE_LESS());
+    (0..5).for_each(|n| net.start(n));
+    net.run(20_000.0);
+    net.start_as(5, Some(2));
+    net.run(10_000.0);
+    let why = net.ended(5).expect("it has ended");
+    assert!(why.contains("m0002") && net.ended(2).is_none(), "{why}");
+    assert_eq!(net.machine(0).record("m0002").unwrap().addr, postusher_lab::virtual_net::addr(2));
+}
+
+#[test]
+fn of_two_under_one_name_that_began_on_two_sides_of_a_cut_one_ends_and_they_never_take_turns() {
+    let mut net = Net::new(7, 3, 17, NO_DEVICE_LESS());
+    (0..6).for_each(|n| net.start(n));
+    net.run(20_000.0);
+    net.cut_all(&[0], &[1, 2, 3, 4, 5, 6]);
+    net.cut_all(&[1, 2, 3, 4, 5, 6], &[0]);
+    net.run(20_000.0);
+    net.start_as(6, Some(0));
+    net.run(20_000.0);
+    assert!(net.is_in(6), "the one before is gone as far as can be known");
+    net.heal();
+    net.run(60_000.0);
+    assert!(net.ended(0).is_some() != net.ended(6).is_some(), "{:?} {:?}", net.ended(0), net.ended(6));
+    let there: Vec<_> =
+        (1..6).map(|n| net.machine(n).record("m0000").map(|r| (r.addr, r.standing))).collect();
+    assert!(there.windows(2).all(|two| two[0] == two[1]), "{there:?}");
+}
+
+#[test]
+fn a_member_back_at_another_address_is_found_there() {
+    let mut net = Net::new(6, 3, 18, NO_DEVICE_LESS());
+    (0..5).for_each(|n| net.start(n));
+    net.run(20_000.0);
+    net.kill(2);
+    net.start_as(5, Some(2));
+    net.run(20_000.0);
+    assert!(net.is_in(5) && net.ended(5).is_none(), "nobody answered under the old address");
+    let at = |n: usize| net.machine(n).record("m0002").map(|r| (r.addr, r.standing));
+    assert!([0, 1, 3, 4]
+        .iter()
+        .all(|n| at(*n) == Some((postusher_lab::virtual_net::addr(5), Standing::Alive))));
+}
+
+#[test]
+fn the_seeds_may_be_gone_for_good() {
+    let mut net = Net::settled(8, 3, 19, NO_DEVICE_LESS());
+    net.kill(0);
+    net.run(60_000.0);
+    net.kill(1);
+    net.run(120_000.0);
+    net.kill(7);
+    net.run(20_000.0);
+    net.start(7);
+    net.run(30_000.0);
+    assert!(net.agree(), "one seed of three is left");
+}
+
+#[test]
+fn the_same_seed_plays_the_same_to_the_byte() {
+    let play = |seed| {
+        let mut net = Net::settled(12, 3, seed, NO_DEVICE_LESS());
+        net.links(Links { loss: 0.2, twice: 0.1, delay: (10.0, 300.0) });
+        net.kill(3);
+        net.stop(4);
+        net.run(30_000.0);
+        (net.seen.clone(), (0..12).map(|n| net.sent(n)).collect::<Vec<_>>())
+    };
+    assert_eq!(play(20), play(20));
+    assert_ne!(play(20), play(21));
+}
+
+#[test]
+fn messages_of_a_member_do_not_grow_with_their_number() {
+    let rate = |n: usize| {
+        let mut net = Net::settled(n, 3, 21, NO_DEVICE_LESS());
+        net.run(60_000.0); // the first exchanges are over
+        let before: Vec<_> = (0..n).map(|i| net.sent(i)).collect();
+        net.run(30_000.0);
+        let most = (0..n).map(|i| net.sent(i).1 - before[i].1).max().unwrap_or(0);
+        let bytes = (0..n).map(|i| net.sent(i).0 - before[i].0).sum::<u64>() as f64 / n as f64 / 30.0;
+        (most as f64 / 30.0, bytes)
+    };
+    let (few, many) = (rate(12), rate(60));
+    assert!(many.0 <= 1.5 * few.0 && many.1 <= 1.5 * few.1, "{few:?} {many:?}");
+    assert!(many.1 < 2_000.0, "{many:?} bytes a second");
+}
+
+/// Each mistake that could be made in the protocol is one that the checks above find.
+#[test]
+fn planted_mistakes_are_found() {
+    let bad = Links { loss: 0.3, twice: 0.0, delay: (150.0, 450.0) };
+    let removals = |devices: Devices| {
+        let mut net = Net::settled(8, 3, 22, devices);
+        net.links(bad);
+        net.run(10.0 * 60_000.0);
+        wrong(&net, &[]).len()
+    };
+    assert_eq!(removals(Devices::default()), 0);
+    assert!(
+        removals(Devices { quorum: false, refute: false, ..Devices::default() }) > 0,
+        "one accuser is enough"
+    );
+
+    let mut net = Net::settled(6, 3, 23, Devices { indirect: false, ..Devices::default() });
+    (1..6).for_each(|n| net.cut(0, n));
+    (1..4).for_each(|n| net.cut(n, 0));
+    net.run(1.0);
+    net.heal();
+    net.cut(0, 1);
+    net.cut(0, 2);
+    net.cut(0, 3);
+    net.run(60_000.0);
+    assert!(!wrong(&net, &[]).is_empty(), "without indirect pings a member that lacks some links is removed");
+
+    let mut net = Net::settled(6, 3, 24, Devices { refute: false, ..Devices::default() });
+    net.stop(2);
+    net.run(15_000.0);
+    net.go_on(2);
+    net.run(30_000.0);
+    assert!(!net.agree(), "who does not refute never comes back");
+
+    let mut net = Net::settled(6, 3, 24, Devices { raise: false, ..Devices::default() });
+    net.stop(2);
+    net.run(15_000.0);
+    net.go_on(2);
+    net.run(30_000.0);
+    assert!(!net.agree(), "nor who does so under the old incarnation");
+
+    let mut net = Net::settled(9, 3, 25, Devices { majority: false, ..Devices::default() });
+    let (zone, rest) = ([0, 3, 6], [1, 2, 4, 5, 7, 8]);
+    net.cut_all(&zone, &rest);
+    net.cut_all(&rest, &zone);
+    net.run(60_000.0);
+    assert!(!wrong(&net, &zone).is_empty(), "the smaller side removes the larger");
+}
+
+/// Guards against: a member's own sleep taken for the silence of all others.
+#[test]
+fn a_sleeper_that_forgets_that_it_slept_believes_itself_alone() {
+    let alone = |pauses: bool| {
+        let mut net = Net::settled(3, 3, 26, Devices { pauses, ..Devices::default() });
+        net.stop(0);
+        net.run(20_000.0);
+        net.go_on(0);
+        net.run(0.4); // nothing has come since
+        net.machine(0).is_minority()
+    };
+    assert!(!alone(true));
+    assert!(alone(false), "it takes the others for cut off");
+}
