--- /dev/null
+++ b/lab/examples/members.rs
@@ -0,0 +1,186 @@
+//! Measures membership in virtual time and writes a page with plots: `cargo run --release -p postusher-lab --example members
+//! -- OUT [hours]`. What it prints follows from the seeds alone.
+
+use anyhow::{Context, Result};
+use plotters::prelude::*;
+use postusher_lab::virtual_net::{Links, Net, Seen};
+use postusher_members::{Devices, Standing};
+use std::fmt::Write as _;
+use std::path::Path;
+use std::thread;
+
+const INTERVAL: f64 = 1_000.0;
+
+fn gone_wrongly(net: &Net, right: &[usize]) -> usize {
+    let wrong = |s: &&Seen| s.standing == Standing::Gone && !right.contains(&s.of);
+    net.seen.iter().filter(wrong).count()
+}
+
+/// Times to know of a crash, of each member that is left, in intervals, in order.
+fn crash(n: usize, loss: f64, seeds: u64, devices: Devices) -> (Vec<f64>, usize, usize) {
+    let (mut times, mut unknown, mut wrong) = (Vec::new(), 0, 0);
+    for seed in 0..seeds {
+        let mut net = Net::settled(n, 3, 1_000 + seed, devices);
+        net.links(Links { loss, ..Links::default() });
+        let at = net.now();
+        net.kill(n / 2);
+        net.run(40_000.0);
+        for by in (0..n).filter(|by| *by != n / 2) {
+            let seen = net.seen.iter().find(|s| s.by == by && s.of == n / 2 && s.standing == Standing::Gone);
+            match seen {
+                Some(seen) => times.push((seen.at - at) / INTERVAL),
+                None => unknown += 1,
+            }
+        }
+        wrong += gone_wrongly(&net, &[n / 2]);
+    }
+    times.sort_by(f64::total_cmp);
+    (times, unknown, wrong)
+}
+
+fn part(sorted: &[f64], part: f64) -> f64 {
+    let at = ((sorted.len() as f64 * part) as usize).min(sorted.len().saturating_sub(1));
+    sorted.get(at).copied().unwrap_or(f64::NAN)
+}
+
+/// Runs these side by side, and gives what they gave in order.
+fn each<T: Sync, U: Send>(all: &[T], work: impl Fn(&T) -> U + Sync) -> Vec<U> {
+    let work = &work;
+    thread::scope(|scope| {
+        let threads: Vec<_> = all.iter().map(|one| scope.spawn(move || work(one))).collect();
+        threads.into_iter().filter_map(|t| t.join().ok()).collect()
+    })
+}
+
+fn plot(path: &Path, title: &str, x: &str, y: &str, lines: &[(String, Vec<(f64, f64)>)]) -> Result<()> {
+    let points = || lines.iter().flat_map(|(_, points)| points).filter(|(_, y)| y.is_finite());
+    let (most_x, most_y) = points().fold((1.0f64, 1.0f64), |(a, b), (x, y)| (a.max(*x), b.max(*y)));
+    let area = SVGBackend::new(path, (720, 420)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, ("sans-serif", 18))
+        .margin(10)
+        .x_label_area_size(40)
+        .y_label_area_size(50)
+        .build_cartesian_2d((1.0..most_x * 1.05).log_scale(), 0.0..most_y * 1.1)?;
+    chart.configure_mesh().x_desc(x).y_desc(y).draw()?;
+    for (i, (label, points)) in lines.iter().enumerate() {
+        let style = Palette99::pick(i).stroke_width(2);
+        let series = points.iter().copied().filter(|(_, y)| y.is_finite());
+        chart
+            .draw_series(LineSeries::new(series, style))?
+            .label(label.as_str())
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], style));
+    }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+    area.present()?;
+    Ok(())
+}
+
+fn main() -> Result<()> {
+    let mut args = std::env::args().skip(1);
+    let out = args.next().context("where to write the page")?;
+    let hours: f64 = args.next().map_or(Ok(2.0), |text| text.parse())?;
+    let out = Path::new(&out);
+    std::fs::create_dir_all(out)?;
+    let mut page = String::from("# Membership, measured in virtual time\n\nTimes in probe intervals.\n\n");
+
+    writeln!(
+        page,
+        "## Time to know of a crash\n\n| members | loss | p50 | p99 | last | not known | removed wrongly |"
+    )?;
+    writeln!(page, "| --- | --- | --- | --- | --- | --- | --- |")?;
+    let sizes = [3usize, 10, 30, 100, 300, 1_000];
+    let losses = [0.0, 0.1, 0.3, 0.5];
+    let cases: Vec<(usize, f64)> =
+        sizes.iter().flat_map(|n| losses.iter().map(move |loss| (*n, *loss))).collect();
+    let seeds = |n: usize| (60 / n as u64).clamp(1, 10);
+    let results: Vec<_> = cases
+        .chunks(6)
+        .flat_map(|few| each(few, |(n, loss)| crash(*n, *loss, seeds(*n), Devices::default())))
+        .collect();
+    let mut lines: Vec<(String, Vec<(f64, f64)>)> =
+        losses.iter().map(|loss| (format!("loss {loss}, p99"), Vec::new())).collect();
+    for ((n, loss), (times, unknown, wrong)) in cases.iter().zip(&results) {
+        let (p50, p99, last) = (part(times, 0.5), part(times, 0.99), part(times, 1.0));
+        writeln!(page, "| {n} | {loss} | {p50:.1} | {p99:.1} | {last:.1} | {unknown} | {wrong} |")?;
+        let nth = losses.iter().position(|l| l == loss).unwrap_or(0);
+        lines[nth].1.push((*n as f64, p99));
+    }
+    plot(&out.join("crash.svg"), "Time to know of a crash, p99", "members", "probe intervals", &lines)?;
+    writeln!(page, "\n![Time to know of a crash](crash.svg)\n")?;
+
+    writeln!(page, "## Removed wrongly\n\nDelays of 150 to 450 ms, a tenth doubled; {hours} hours of 10 members for each seed.\n")?;
+    writeln!(page, "| loss | member-hours | protocol | without most observers | without indirect pings | without refutation | one accuser, no refutation |")?;
+    writeln!(page, "| --- | --- | --- | --- | --- | --- | --- |")?;
+    let all = Devices::default();
+    let variants = [
+        all,
+        Devices { quorum: false, ..all },
+        Devices { indirect: false, ..all },
+        Devices { refute: false, ..all },
+        Devices { quorum: false, refute: false, ..all },
+    ];
+    for loss in [0.1, 0.3, 0.5] {
+        let removed = each(&variants, |devices| {
+            let mut wrong = 0;
+            for seed in 0..4 {
+                let mut net = Net::settled(10, 3, 2_000 + seed, *devices);
+                net.links(Links { loss, twice: 0.1, delay: (150.0, 450.0) });
+                net.run(hours / 4.0 * 3_600_000.0);
+                wrong += gone_wrongly(&net, &[]);
+            }
+            wrong
+        });
+        let row: Vec<String> = removed.iter().map(usize::to_string).collect();
+        writeln!(page, "| {loss} | {} | {} |", 10.0 * hours, row.join(" | "))?;
+    }
+
+    writeln!(page, "\n## Pauses\n\nOne of 10 members stopped; seeds in which it was removed, of 20, and others that were.\n")?;
+    writeln!(page, "| pause, intervals | removed | others removed |\n| --- | --- | --- |")?;
+    let pauses = [0.5, 2.0, 4.0, 5.0, 6.0, 7.0, 8.0, 10.0, 30.0];
+    let paused = each(&pauses, |pause| {
+        let (mut removed, mut others) = (0, 0);
+        for seed in 0..20 {
+            let mut net = Net::settled(10, 3, 3_000 + seed, all);
+            net.stop(4);
+            net.run(pause * INTERVAL);
+            net.go_on(4);
+            net.run(20_000.0);
+            removed += usize::from(net.seen.iter().any(|s| s.of == 4 && s.standing == Standing::Gone));
+            others += gone_wrongly(&net, &[4]);
+        }
+        (removed, others)
+    });
+    for (pause, (removed, others)) in pauses.iter().zip(paused) {
+        writeln!(page, "| {pause} | {removed} | {others} |")?;
+    }
+
+    writeln!(page, "\n## Cost of a member at rest\n\n| members | datagrams a second | bytes a second | heartbeats of each to all, datagrams a second |")?;
+    writeln!(page, "| --- | --- | --- | --- |")?;
+    let cost = each(&sizes, |n| {
+        let mut net = Net::settled(*n, 3, 4_000, all);
+        net.run(100_000.0);
+        let before: Vec<_> = (0..*n).map(|i| net.sent(i)).collect();
+        net.run(30_000.0);
+        let sum = |f: fn((u64, u64)) -> u64| (0..*n).map(|i| f(net.sent(i)) - f(before[i])).sum::<u64>();
+        let per = |x: u64| x as f64 / *n as f64 / 30.0;
+        (per(sum(|s| s.1)), per(sum(|s| s.0)))
+    });
+    let mut line = Vec::new();
+    for (n, (datagrams, bytes)) in sizes.iter().zip(cost) {
+        writeln!(page, "| {n} | {datagrams:.1} | {bytes:.0} | {} |", n - 1)?;
+        line.push((*n as f64, bytes));
+    }
+    plot(
+        &out.join("cost.svg"),
+        "Bytes a second of a member at rest",
+        "members",
+        "bytes a second",
+        &[("bytes".into(), line)],
+    )?;
+    writeln!(page, "\n![Cost](cost.svg)")?;
+    std::fs::write(out.join("members.md"), &page)?;
+    println!("{page}");
+    Ok(())
+}
--- a/members/src/lib.rs
+++ b/members/src/lib.rs
@@ -16,6 +16,7 @@
 #![forbid(unsafe_code)]
 
 mod figures;
+mod gossip;
 mod member;
 mod record;
 mod rings;
--- a/members/src/member.rs
+++ b/members/src/member.rs
@@ -1,6 +1,7 @@
 //! One member: what it sends when, and what it makes of what others send.
 
 use crate::figures::Figures;
+use crate::gossip::Gossip;
 use crate::record::{mix, Id, Instance, Record, Standing};
 use crate::roster::{Accusation, Change, Roster};
 use crate::wire::{self, Part, Writer, MOST_BYTES, MOST_WHOLE};
@@ -108,18 +109,6 @@
     accused: Option<Millis>,
 }
 
-#[derive(Clone, Debug)]
-enum News {
-    Record(Record),
-    Accusation(Accusation),
-}
-
-#[derive(Clone, Debug)]
-struct Piece {
-    news: News,
-    sent: u32,
-}
-
 #[derive(Clone, Debug)]
 struct Relayed {
     asker: SocketAddr,
@@ -146,7 +135,7 @@
     /// Pings whose answers may come: whom they went to, and when.
     asked: BTreeMap<u64, (Id, Millis)>,
     relayed: BTreeMap<u64, Relayed>,
-    pieces: Vec<Piece>,
+    gossip: Gossip,
     /// Of its subjects none is heard; or so few that it, with those, may be the smaller side of a cut.
     deaf: bool,
     unsure: bool,
@@ -176,7 +165,7 @@
             watched_at: None,
             asked: BTreeMap::new(),
             relayed: BTreeMap::new(),
-            pieces: Vec::new(),
+            gossip: Gossip::default(),
             deaf: false,
             unsure: false,
             count: 0,
@@ -259,7 +248,6 @@
                     self.figures.removed += 1;
                     self.learn(gone);
                 }
-                self.roster.forget(self.now);
                 self.exchange(out);
             }
             Phase::Over => {}
@@ -306,7 +294,7 @@
             standing,
         };
         self.roster.take(record.clone(), self.now);
-        self.spread(News::Record(record));
+        self.gossip.push(Part::Record(record));
     }
 
     /// Pings those that it observes, and accuses those that give no proof of life.
@@ -406,7 +394,7 @@
         let seq = self.incarnation << 32 | self.count;
         let a = Accusation { accuser: self.me, subject, incarnation, seq, stands, sure: !self.unsure };
         if self.roster.accuse(a, self.now) {
-            self.spread(News::Accusation(a));
+            self.gossip.push(Part::Accusation(a));
         }
         if stands {
             self.ping(subject, out);
@@ -516,7 +504,7 @@
             if let Some(w) = self.watches.get_mut(&record.id()) {
                 w.accused = None; // what was said of an earlier incarnation is void
             }
-            self.spread(News::Record(record));
+            self.gossip.push(Part::Record(record));
         }
     }
 
@@ -528,7 +516,7 @@
             };
         }
         if a.accuser != self.me && self.roster.accuse(a, self.now) {
-            self.spread(News::Accusation(a));
+            self.gossip.push(Part::Accusation(a));
         }
     }
 
@@ -597,6 +585,7 @@
         if self.now < self.exchange_at {
             return;
         }
+        self.roster.forget(self.now);
         let every = self.exchange_every.min(EXCHANGE);
         self.exchange_at = self.now + every * self.config.times.probe * (0.75 + 0.5 * self.chance());
         self.exchange_every = (2.0 * every).min(EXCHANGE);
@@ -631,19 +620,6 @@
         self.phase = Phase::Over;
     }
 
-    /// Has news sent on; what it replaces is not.
-    fn spread(&mut self, news: News) {
-        let same = |old: &News| match (old, &news) {
-            (News::Record(a), News::Record(b)) => a.name == b.name,
-            (News::Accusation(a), News::Accusation(b)) => (a.accuser, a.subject) == (b.accuser, b.subject),
-            // A new record makes void what was said before.
-            (News::Accusation(a), News::Record(b)) => a.subject == b.id(),
-            (News::Record(_), News::Accusation(_)) => false,
-        };
-        self.pieces.retain(|piece| !same(&piece.news));
-        self.pieces.push(Piece { news, sent: 0 });
-    }
-
     /// Sends parts, and news with them as far as there is room: what was sent least goes first.
     fn send(&mut self, to: SocketAddr, parts: impl IntoIterator<Item = Part>, out: &mut Vec<Action>) {
         let mut w = Writer::new(&self.config.cluster, self.me, MOST_BYTES);
@@ -651,18 +627,7 @@
             w.add(&part);
         }
         let most = (SPREAD * (self.roster.len() as f64 + 1.0).log2()).ceil() as u32;
-        self.pieces.sort_by_key(|piece| piece.sent);
-        for piece in &mut self.pieces {
-            let part = match &piece.news {
-                News::Record(record) => Part::Record(record.clone()),
-                News::Accusation(a) => Part::Accusation(*a),
-            };
-            if !w.add(&part) {
-                break;
-            }
-            piece.sent += 1;
-        }
-        self.pieces.retain(|piece| piece.sent < most);
+        self.gossip.fill(&mut w, most);
         let bytes = w.finish();
         self.figures.datagrams += 1;
         self.figures.bytes += bytes.len() as u64;
--- /dev/null
+++ b/members/tests/model.rs
@@ -0,0 +1,328 @@
+//! Join, accuse, refute, remove and rejoin of three members, in every order in which messages can come or be lost, on the
+//! crate's own transition function ([`Roster`]), checked by stateright.
+
+use postusher_members::{Accusation, Change, Devices, Id, Instance, Record, Roster, Standing, Times};
+use stateright::{Checker, Model, Property};
+use std::collections::{BTreeMap, BTreeSet};
+
+const N: usize = 3;
+
+fn id(n: usize) -> Id {
+    Id::of(&format!("m{n}"))
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+enum Message {
+    Record(usize, u64, Standing, Instance),
+    Accusation(Said),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+struct Said {
+    accuser: usize,
+    subject: usize,
+    incarnation: u64,
+    seq: u64,
+    stands: bool,
+}
+
+/// A member's mind, as plain data: the roster is made of it anew for each step.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Mind {
+    runs: bool,
+    incarnation: u64,
+    instance: Instance,
+    records: BTreeMap<usize, (u64, Standing, Instance)>,
+    said: BTreeSet<Said>,
+    seq: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct State {
+    minds: Vec<Mind>,
+    /// Messages under way, by whom they go to.
+    net: BTreeSet<(usize, Message)>,
+    /// The highest incarnation of each that each has believed in.
+    high: Vec<Vec<u64>>,
+    accusations: u8,
+    crashes: u8,
+    losses: u8,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Step {
+    Accuse(usize, usize),
+    Withdraw(usize, usize),
+    Deliver(usize, Message),
+    Lose(usize, Message),
+    Crash(usize),
+    Restart(usize),
+}
+
+struct Cluster {
+    devices: Devices,
+    accusations: u8,
+    crashes: u8,
+    losses: u8,
+}
+
+fn record(n: usize, incarnation: u64, standing: Standing, instance: Instance) -> Record {
+    let (name, addr) = (format!("m{n}"), "127.0.0.1:1".parse().unwrap());
+    Record { name, zone: "z".into(), addr, instance, incarnation, standing }
+}
+
+impl Cluster {
+    fn roster(&self, mind: &Mind) -> Roster {
+        let times = Times { removal: 0.0, ..Times::default() };
+        let mut roster = Roster::new(times, self.devices);
+        for (n, (incarnation, standing, instance)) in &mind.records {
+            roster.take(record(*n, *incarnation, *standing, *instance), 0.0);
+        }
+        mind.said.iter().for_each(|said| drop(roster.accuse(accusation(said), 0.0)));
+        roster
+    }
+
+    /// Keeps what a roster has become, judges, and sends on what is new.
+    fn keep(&self, state: &mut State, me: usize, mut roster: Roster, mut news: Vec<Message>) {
+        for gone in roster.judge(0.0) {
+            let n = (0..N).find(|n| id(*n) == gone.id()).unwrap();
+            news.push(Message::Record(n, gone.incarnation, gone.standing, gone.instance));
+            roster.take(gone, 0.0);
+        }
+        let mind = &mut state.minds[me];
+        mind.records.clear();
+        for n in 0..N {
+            if let Some(r) = roster.get(id(n)) {
+                mind.records.insert(n, (r.incarnation, r.standing, r.instance));
+                state.high[me][n] = state.high[me][n].max(r.incarnation);
+            }
+        }
+        mind.said
+            .retain(|s| roster.against(id(s.subject)).any(|a| a.accuser == id(s.accuser) && a.seq == s.seq));
+        for message in news {
+            (0..N).filter(|to| *to != me).for_each(|to| drop(state.net.insert((to, message.clone()))));
+        }
+    }
+
+    fn refute(&self, state: &mut State, me: usize, roster: &mut Roster, heard: u64) -> Vec<Message> {
+        let mind = &mut state.minds[me];
+        if !self.devices.refute || heard < mind.incarnation {
+            return Vec::new();
+        }
+        mind.incarnation = if self.devices.raise { heard + 1 } else { heard };
+        roster.take(record(me, mind.incarnation, Standing::Alive, mind.instance), 0.0);
+        vec![Message::Record(me, mind.incarnation, Standing::Alive, mind.instance)]
+    }
+
+    fn deliver(&self, state: &mut State, to: usize, message: Message) {
+        let mut roster = self.roster(&state.minds[to]);
+        let mut news = Vec::new();
+        match &message {
+            Message::Record(n, incarnation, standing, instance) if *n == to => {
+                if *standing != Standing::Alive || *instance != state.minds[to].instance {
+                    news = self.refute(state, to, &mut roster, *incarnation);
+                }
+            }
+            Message::Record(n, incarnation, standing, instance) => {
+                let change = roster.take(record(*n, *incarnation, *standing, *instance), 0.0);
+                news.extend((change != Change::Nothing).then_some(message));
+            }
+            Message::Accusation(said) if said.subject == to => {
+                if said.stands {
+                    news = self.refute(state, to, &mut roster, said.incarnation);
+                }
+            }
+            Message::Accusation(said) => {
+                if roster.accuse(accusation(said), 0.0) {
+                    state.minds[to].said.retain(|s| (s.accuser, s.subject) != (said.accuser, said.subject));
+                    state.minds[to].said.insert(said.clone());
+                }
+            }
+        }
+        self.keep(state, to, roster, news);
+    }
+
+    fn say(&self, state: &mut State, accuser: usize, subject: usize, stands: bool) {
+        let mut roster = self.roster(&state.minds[accuser]);
+        let mind = &mut state.minds[accuser];
+        mind.seq += 1;
+        let incarnation = mind.records[&subject].0;
+        let said = Said { accuser, subject, incarnation, seq: mind.seq, stands };
+        mind.said.retain(|s| (s.accuser, s.subject) != (accuser, subject));
+        mind.said.insert(said.clone());
+        roster.accuse(accusation(&said), 0.0);
+        self.keep(state, accuser, roster, vec![Message::Accusation(said)]);
+    }
+}
+
+fn accusation(said: &Said) -> Accusation {
+    let Said { accuser, subject, incarnation, seq, stands } = *said;
+    Accusation { accuser: id(accuser), subject: id(subject), incarnation, seq, stands, sure: true }
+}
+
+impl Model for Cluster {
+    type State = State;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<State> {
+        let instance = |n: usize| Instance { born: 1, number: n as u64 };
+        let records: BTreeMap<_, _> = (0..N).map(|n| (n, (1, Standing::Alive, instance(n)))).collect();
+        let mind = |n| Mind {
+            runs: true,
+            incarnation: 1,
+            instance: instance(n),
+            records: records.clone(),
+            said: BTreeSet::new(),
+            seq: 0,
+        };
+        vec![State {
+            minds: (0..N).map(mind).collect(),
+            net: BTreeSet::new(),
+            high: vec![vec![1; N]; N],
+            accusations: 0,
+            crashes: 0,
+            losses: 0,
+        }]
+    }
+
+    fn actions(&self, state: &State, actions: &mut Vec<Step>) {
+        for (to, message) in &state.net {
+            actions.push(Step::Deliver(*to, message.clone()));
+            if state.losses < self.losses {
+                actions.push(Step::Lose(*to, message.clone()));
+            }
+        }
+        for (n, mind) in state.minds.iter().enumerate() {
+            if !mind.runs {
+                actions.push(Step::Restart(n));
+                continue;
+            }
+            if state.crashes < self.crashes {
+                actions.push(Step::Crash(n));
+            }
+            // It makes no difference which one is accused.
+            for other in [N - 1].into_iter().filter(|o| *o != n) {
+                let mine = |s: &&Said| s.accuser == n && s.subject == other && s.stands;
+                let alive = mind.records.get(&other).is_some_and(|r| r.1 == Standing::Alive);
+                if mind.said.iter().any(|s| mine(&s)) {
+                    actions.push(Step::Withdraw(n, other));
+                } else if alive && state.accusations < self.accusations {
+                    actions.push(Step::Accuse(n, other));
+                }
+            }
+        }
+    }
+
+    fn next_state(&self, last: &State, action: Step) -> Option<State> {
+        let mut state = last.clone();
+        match action {
+            Step::Accuse(n, other) => {
+                state.accusations += 1;
+                self.say(&mut state, n, other, true);
+            }
+            Step::Withdraw(n, other) => self.say(&mut state, n, other, false),
+            Step::Deliver(to, message) => {
+                state.net.remove(&(to, message.clone()));
+                if state.minds[to].runs {
+                    self.deliver(&mut state, to, message);
+                }
+            }
+            Step::Lose(to, message) => {
+                state.losses += 1;
+                state.net.remove(&(to, message));
+            }
+            Step::Crash(n) => {
+                state.crashes += 1;
+                state.minds[n].runs = false;
+            }
+            Step::Restart(n) => {
+                // It asks one that runs who is there, and what its name was believed to be.
+                let asked = state.minds.iter().position(|m| m.runs)?;
+                let theirs = state.minds[asked].records.clone();
+                let incarnation = theirs.get(&n).map_or(0, |r| r.0) + 1;
+                let instance = Instance { born: incarnation, number: 100 + n as u64 };
+                let mind = &mut state.minds[n];
+                (mind.runs, mind.incarnation, mind.instance) = (true, incarnation, instance);
+                (mind.records, mind.said) = (theirs, BTreeSet::new());
+                state.high[n] = vec![0; N]; // another process, that has believed in nothing yet
+                let mut roster = self.roster(&state.minds[n]);
+                roster.take(record(n, incarnation, Standing::Alive, instance), 0.0);
+                let news = vec![Message::Record(n, incarnation, Standing::Alive, instance)];
+                self.keep(&mut state, n, roster, news);
+            }
+        }
+        Some(state)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("incarnations only rise", |_, s: &State| {
+                let believed = |by: usize, of: usize| s.minds[by].records.get(&of).map_or(0, |r| r.0);
+                (0..N).all(|by| !s.minds[by].runs || (0..N).all(|of| believed(by, of) == s.high[by][of]))
+            }),
+            Property::always("nobody but itself raises an incarnation", |_, s: &State| {
+                let own = |of: usize| s.minds[of].incarnation;
+                s.minds.iter().all(|m| m.records.iter().all(|(of, r)| r.0 <= own(*of)))
+            }),
+            Property::always("a refuted suspicion removes nobody", |_, s: &State| {
+                // Whoever has heard of the present incarnation of one that runs believes in it until that is accused.
+                let gone = |by: &Mind, of: usize| {
+                    let now = (s.minds[of].incarnation, Standing::Gone);
+                    by.records.get(&of).is_some_and(|r| (r.0, r.1) == now)
+                };
+                let runs = |of: usize| s.minds[of].runs;
+                let accused = |of: usize| s.accusations >= 2 || s.crashes > 0 || !runs(of);
+                (0..N).all(|of| accused(of) || s.minds.iter().all(|by| !gone(by, of)))
+            }),
+            Property::always("one that runs and was removed comes back", |_, s: &State| {
+                let quiet = s.net.is_empty() && s.losses == 0 && s.crashes == 0;
+                let alive = |m: &Mind, of| m.records.get(&of).is_some_and(|r| r.1 == Standing::Alive);
+                !quiet || s.minds.iter().all(|m| (0..N).all(|of| alive(m, of)))
+            }),
+            Property::sometimes("a member that runs can be removed at all", |_, s: &State| {
+                let gone = |m: &Mind| m.records.values().any(|r| r.1 == Standing::Gone);
+                s.minds.iter().any(|m| m.runs && gone(m))
+            }),
+            Property::sometimes("a member that was removed is believed in again", |_, s: &State| {
+                let back = |of: usize| s.minds[of].incarnation >= 3;
+                (0..N).any(|of| back(of) && s.minds.iter().all(|m| m.records[&of].1 == Standing::Alive))
+            }),
+        ]
+    }
+}
+
+#[test]
+fn what_must_hold_does_in_every_order() {
+    let lost = Cluster { devices: Devices::default(), accusations: 2, crashes: 0, losses: 1 };
+    let checked = lost.checker().threads(4).spawn_bfs().join();
+    checked.assert_properties();
+    println!("losses: {} states", checked.unique_state_count());
+}
+
+#[test]
+fn and_with_a_crash_and_a_restart() {
+    let crash = Cluster { devices: Devices::default(), accusations: 1, crashes: 1, losses: 0 };
+    let checked = crash.checker().threads(4).spawn_bfs().join();
+    checked.assert_no_discovery("incarnations only rise");
+    checked.assert_no_discovery("nobody but itself raises an incarnation");
+    println!("crash: {} states", checked.unique_state_count());
+}
+
+#[test]
+fn a_planted_mistake_is_found() {
+    for devices in
+        [Devices { raise: false, ..Devices::default() }, Devices { refute: false, ..Devices::default() }]
+    {
+        let wrong = Cluster { devices, accusations: 2, crashes: 0, losses: 0 };
+        let checked = wrong.checker().threads(4).spawn_bfs().join();
+        assert!(checked.discovery("one that runs and was removed comes back").is_some(), "{devices:?}");
+    }
+    let one = Cluster {
+        devices: Devices { quorum: false, ..Devices::default() },
+        accusations: 1,
+        crashes: 0,
+        losses: 0,
+    };
+    let checked = one.checker().threads(4).spawn_bfs().join();
+    assert!(checked.discovery("a refuted suspicion removes nobody").is_some(), "one accuser removes");
+}
