--- a/members/tests/model.rs
+++ b/members/tests/model.rs
@@ -78,7 +78,9 @@
         for (n, (incarnation, standing, instance)) in &mind.records {
             roster.take(record(*n, *incarnation, *standing, *instance), 0.0);
         }
-        mind.said.iter().for_each(|said| drop(roster.accuse(accusation(said), 0.0)));
+        for said in &mind.said {
+            roster.accuse(accusation(said), 0.0);
+        }
         roster
     }
 
@@ -100,7 +102,7 @@
         mind.said
             .retain(|s| roster.against(id(s.subject)).any(|a| a.accuser == id(s.accuser) && a.seq == s.seq));
         for message in news {
-            (0..N).filter(|to| *to != me).for_each(|to| drop(state.net.insert((to, message.clone()))));
+            state.net.extend((0..N).filter(|to| *to != me).map(|to| (to, message.clone())));
         }
     }
 
--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -4,12 +4,12 @@
 
 use crate::answer::{Answer, Failure};
 use crate::clock::{Millis, Timers};
-use crate::event_loop::Key;
 use crate::figures::Figures;
 use crate::forward::End;
 use crate::handover::{MovedJob, MovedLeg, MovedWait};
 use crate::intake::{self, Job};
 use crate::invariant::{holds, Invariant};
+use crate::key::Key;
 use crate::news::{report_from_text, News, State};
 use crate::target_group::TargetGroup;
 use crate::waiting::{Turned, Waiting};
--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -9,6 +9,7 @@
 use crate::handover::{self, Message, Word};
 use crate::http::{Outbox, RequestLine};
 use crate::invariant;
+use crate::key::Key;
 use crate::listener::{self, State};
 use crate::reload::Reload;
 use crate::target_group::{self, TargetGroup};
@@ -58,28 +59,6 @@
     (connections - connections / FORWARDS_ONE_IN, connections / FORWARDS_ONE_IN)
 }
 
-/// Names a connection for as long as it lives; its slot may be used again by another.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Key {
-    slot: usize,
-    serial: u64,
-}
-
-impl Key {
-    /// A number that no other connection of this process ever has.
-    pub fn number(self) -> u64 {
-        self.serial
-    }
-}
-
-#[cfg(test)]
-impl Key {
-    /// A key where there are no sockets.
-    pub fn test(serial: u64) -> Key {
-        Key { slot: 0, serial }
-    }
-}
-
 enum Role {
     /// A client's connection, or one that a target brings news on; the request at hand.
     Listener(listener::Connection, Option<JobId>),
--- a/node/src/forward.rs
+++ b/node/src/forward.rs
@@ -1,8 +1,8 @@
 //! The targets' side of a connection, without its socket: one task at a time, and the idle ones of each target.
 
-use crate::event_loop::Key;
 use crate::http::{Decoder, Message, Outbox, StatusLine};
 use crate::invariant::{holds, Invariant};
+use crate::key::Key;
 use postusher::{JobId, WorkerId};
 use std::collections::HashMap;
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -16,6 +16,7 @@
 mod import;
 mod intake;
 mod invariant;
+mod key;
 mod listener;
 mod management;
 #[cfg(test)]
