Schedulers as members on sockets, and a laboratory that cuts links between processes

Off in run; without <members> in a setup nothing listens and nothing is sent. Change: <members> in the setup (schema, checks, samples), datagrams and exchanges in the one loop within a budget a turn, GET /members, figures under members in /stats, SIGTERM leaves in words, an upgrade hands the address on. In lab/ a relay on which each ordered pair of processes is a link, SIGSTOP, crashes with a return, and an eighth rule from what GET /members shows: who is gone is found gone, nobody else, once for each fault, all agree in the end.

--- a/lab/src/bench.rs
+++ b/lab/src/bench.rs
@@ -5,6 +5,7 @@
 use crate::faults;
 use crate::journal::{Entry, Journal};
 use crate::plan::Plan;
+use crate::relay::Relay;
 use crate::scenario::Scenario;
 use crate::schedulers::{free_address, Place, Scheduler};
 use crate::workers::Worker;
@@ -28,6 +29,8 @@
     pub discovery: Arc<Discovery>,
     /// The schedulers.
     pub schedulers: Vec<Mutex<Scheduler>>,
+    /// The links between schedulers, where they know of each other.
+    pub relay: Option<Arc<Relay>>,
     /// What was seen.
     pub journal: Journal,
 }
@@ -113,17 +116,24 @@
     let addrs = workers.iter().map(|w| w.addrs.clone()).collect();
     let discovery =
         Discovery::start(addrs, scenario.fleet.cell, scenario.schedulers, journal.clone()).await?;
+    let relay = match &scenario.members {
+        Some(_) => Some(Relay::start(scenario.schedulers, options.seed).await?),
+        None => None,
+    };
     let mut schedulers = Vec::new();
     for (n, place) in places.iter().enumerate() {
         let asks = discovery.addrs[n];
         let mut new = Scheduler::new(n, &options.binary, *place, asks, &options.out, journal.clone())?;
+        if let Some((members, relay)) = scenario.members.as_ref().zip(relay.as_deref()) {
+            new = new.with_members(members, relay);
+        }
         new.start(scenario).await?;
         schedulers.push(Mutex::new(new));
     }
     // Time for the first list.
     tokio::time::sleep(Duration::from_millis(300)).await;
     let scenario = scenario.clone();
-    let stage = Arc::new(Stage { scenario, workers, discovery, schedulers, journal: journal.clone() });
+    let stage = Arc::new(Stage { scenario, workers, discovery, schedulers, relay, journal: journal.clone() });
     // The plan's time begins now.
     let begun = journal.now();
     let shifted = Arc::new(Plan::of(plan.jobs.iter().cloned().map(|j| j_shifted(j, begun)).collect()));
@@ -137,8 +147,9 @@
             loop {
                 for scheduler in &stage.schedulers {
                     // One that is being restarted is left alone.
-                    if let Ok(scheduler) = scheduler.try_lock() {
+                    if let Ok(mut scheduler) = scheduler.try_lock() {
                         scheduler.note_figures().await;
+                        scheduler.note_view(stage.schedulers.len()).await;
                     }
                 }
                 progress(((stage.journal.now() - begun) / 1e3 / seconds).min(1.0));
--- a/lab/src/faults.rs
+++ b/lab/src/faults.rs
@@ -2,12 +2,16 @@
 
 use crate::bench::Stage;
 use crate::journal::Seen;
+use crate::relay::Weather;
 use crate::scenario::{Fault, Kind};
 use crate::workers::name;
 use anyhow::{Context, Result};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The longest delay of a datagram in bad weather.
+const WEATHER_DELAY_MS: f64 = 300.0;
+
 /// Plays all faults; ends with the last.
 ///
 /// # Errors
@@ -61,6 +65,40 @@
             tokio::time::sleep(lasts).await;
             stage.discovery.set_down(false);
         }
+        Kind::Cut => {
+            let Some(relay) = &stage.relay else { return Ok(()) };
+            relay.cut(&fault.who, &fault.to, true);
+            tokio::time::sleep(lasts).await;
+            relay.cut(&fault.who, &fault.to, false);
+        }
+        Kind::Weather => {
+            let Some(relay) = &stage.relay else { return Ok(()) };
+            relay.weather(Weather { loss: fault.factor, twice: 0.1, delay_ms: WEATHER_DELAY_MS });
+            tokio::time::sleep(lasts).await;
+            relay.weather(Weather::default());
+        }
+        Kind::Down | Kind::Pause => {
+            // Nobody else asks one that is down or stopped for anything.
+            let mut these = Vec::new();
+            for n in &fault.who {
+                if let Some(scheduler) = stage.schedulers.get(*n) {
+                    these.push(scheduler.lock().await);
+                }
+            }
+            for scheduler in &mut these {
+                match fault.kind {
+                    Kind::Down => scheduler.down().await?,
+                    _ => scheduler.pause(true)?,
+                }
+            }
+            tokio::time::sleep(lasts).await;
+            for scheduler in &mut these {
+                match fault.kind {
+                    Kind::Down => scheduler.start(&stage.scenario).await?,
+                    _ => scheduler.pause(false)?,
+                }
+            }
+        }
         Kind::Kill | Kind::Term | Kind::Upgrade | Kind::Reload => {
             for n in &fault.who {
                 let Some(scheduler) = stage.schedulers.get(*n) else { continue };
--- a/lab/src/journal.rs
+++ b/lab/src/journal.rs
@@ -49,6 +49,9 @@
         longest_wait_ms: u64,
         resident_kib: u64,
     },
+    /// What a scheduler believes of all: the state of each by its number, in a letter (alive, suspect, gone, left, or
+    /// unknown: `-`); told when it has changed.
+    View { scheduler: usize, states: String, minority: bool },
     /// Slots in use at a worker, and jobs that wait there.
     Load { worker: usize, slots: u32, queue: usize },
     /// A fault of the script begins.
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod journal;
 pub mod machine;
 pub mod plan;
+pub mod relay;
 pub mod report;
 pub mod rules;
 pub mod scenario;
--- /dev/null
+++ b/lab/src/relay.rs
@@ -0,0 +1,199 @@
+//! The links between the schedulers' processes: a relay in user space, on which each ordered pair is a link of its own that can
+//! be cut, be lossy, slow, double and reorder; datagrams and connections alike. A process has two addresses, its own and the
+//! one by which others know it; the latter is the relay's.
+
+use anyhow::{Context, Result};
+use rand::Rng;
+use rand_chacha::rand_core::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
+
+/// What all links do to datagrams.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Weather {
+    /// Part that is lost.
+    pub loss: f64,
+    /// Part that comes twice.
+    pub twice: f64,
+    /// The longest delay in milliseconds; each has one by chance, so that later ones come earlier.
+    pub delay_ms: f64,
+}
+
+/// What can be seen and set while all runs.
+struct Sky {
+    weather: Weather,
+    cut: BTreeSet<(usize, usize)>,
+    rng: ChaCha8Rng,
+}
+
+/// The relay between so many processes.
+pub struct Relay {
+    /// Where each process listens itself.
+    pub own: Vec<SocketAddr>,
+    /// Where others reach it.
+    pub known: Vec<SocketAddr>,
+    sky: Mutex<Sky>,
+}
+
+/// The addresses of processes and those by which they are known, each in a range of its own.
+const OWN: u8 = 84;
+const KNOWN: u8 = 85;
+
+fn host(range: u8, n: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, range, 0, n as u8 + 1)
+}
+
+impl Relay {
+    /// Starts one; all links work.
+    ///
+    /// # Errors
+    /// An address cannot be had.
+    pub async fn start(n: usize, seed: u64) -> Result<Arc<Relay>> {
+        let (mut own, mut known, mut sockets) = (Vec::new(), Vec::new(), Vec::new());
+        for i in 0..n {
+            // Free for connections; for datagrams it is then free as well, as nobody else uses these ranges.
+            own.push(std::net::TcpListener::bind((host(OWN, i), 0))?.local_addr()?);
+            let listener = TcpListener::bind((host(KNOWN, i), 0)).await?;
+            let addr = listener.local_addr()?;
+            sockets
+                .push((listener, Arc::new(UdpSocket::bind(addr).await.with_context(|| format!("{addr}"))?)));
+            known.push(addr);
+        }
+        let sky =
+            Sky { weather: Weather::default(), cut: BTreeSet::new(), rng: ChaCha8Rng::seed_from_u64(seed) };
+        let relay = Arc::new(Relay { own, known, sky: Mutex::new(sky) });
+        let datagrams: Vec<Arc<UdpSocket>> = sockets.iter().map(|(_, udp)| udp.clone()).collect();
+        for (to, (listener, _)) in sockets.into_iter().enumerate() {
+            tokio::spawn(relay.clone().datagrams(to, datagrams.clone()));
+            tokio::spawn(relay.clone().connections(to, listener));
+        }
+        Ok(relay)
+    }
+
+    fn sky(&self) -> MutexGuard<'_, Sky> {
+        match self.sky.lock() {
+            Ok(sky) => sky,
+            Err(poisoned) => poisoned.into_inner(), // a panic elsewhere; the run fails by that
+        }
+    }
+
+    /// All links from now on.
+    pub fn weather(&self, weather: Weather) {
+        self.sky().weather = weather;
+    }
+
+    /// Cuts the ways from some to others, or makes them whole again; the ways back stay as they are.
+    pub fn cut(&self, from: &[usize], to: &[usize], cut: bool) {
+        let mut sky = self.sky();
+        for pair in from.iter().flat_map(|a| to.iter().map(move |b| (*a, *b))) {
+            let _ = if cut { sky.cut.insert(pair) } else { sky.cut.remove(&pair) };
+        }
+    }
+
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        self.sky().cut.contains(&(from, to))
+    }
+
+    /// When copies of a datagram are to be handed on; none where it is lost.
+    fn fate(&self, from: usize, to: usize) -> Vec<Duration> {
+        let mut sky = self.sky();
+        let Weather { loss, twice, delay_ms } = sky.weather;
+        if sky.cut.contains(&(from, to)) || sky.rng.random::<f64>() < loss {
+            return Vec::new();
+        }
+        let copies = 1 + usize::from(sky.rng.random::<f64>() < twice);
+        (0..copies).map(|_| Duration::from_secs_f64(delay_ms * sky.rng.random::<f64>() / 1e3)).collect()
+    }
+
+    async fn datagrams(self: Arc<Relay>, to: usize, sockets: Vec<Arc<UdpSocket>>) {
+        let mut bytes = vec![0; 64 * 1024];
+        loop {
+            let Ok((length, source)) = sockets[to].recv_from(&mut bytes).await else { continue };
+            let Some(from) = self.own.iter().position(|own| *own == source) else { continue };
+            for after in self.fate(from, to) {
+                let (socket, addr, bytes) = (sockets[from].clone(), self.own[to], bytes[..length].to_vec());
+                tokio::spawn(async move {
+                    tokio::time::sleep(after).await;
+                    let _ = socket.send_to(&bytes, addr).await; // one that nobody takes is lost
+                });
+            }
+        }
+    }
+
+    async fn connections(self: Arc<Relay>, to: usize, listener: TcpListener) {
+        while let Ok((stream, source)) = listener.accept().await {
+            let Some(from) = self.own.iter().position(|own| own.ip() == source.ip()) else { continue };
+            let relay = self.clone();
+            tokio::spawn(async move { relay.connection(from, to, stream).await });
+        }
+    }
+
+    /// A cut link is silent: the connection is up, and nothing comes.
+    async fn connection(self: Arc<Relay>, from: usize, to: usize, stream: TcpStream) {
+        let Ok(socket) = TcpSocket::new_v4() else { return };
+        if socket.bind(SocketAddr::from((host(KNOWN, from), 0))).is_err() {
+            return;
+        }
+        let Ok(other) = socket.connect(self.own[to]).await else { return };
+        let ((here, to_here), (there, to_there)) = (stream.into_split(), other.into_split());
+        tokio::join!(self.pass(from, to, here, to_there), self.pass(to, from, there, to_here));
+    }
+
+    async fn pass(&self, from: usize, to: usize, mut here: OwnedReadHalf, mut there: OwnedWriteHalf) {
+        let mut bytes = vec![0; 16 * 1024];
+        while let Ok(n @ 1..) = here.read(&mut bytes).await {
+            if !self.is_cut(from, to) && there.write_all(&bytes[..n]).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn each_ordered_pair_is_a_link_of_its_own_for_datagrams_and_connections() {
+        let relay = Relay::start(2, 1).await.unwrap();
+        let a = UdpSocket::bind(relay.own[0]).await.unwrap();
+        let b = UdpSocket::bind(relay.own[1]).await.unwrap();
+        let mut bytes = [0; 16];
+        a.send_to(b"one", relay.known[1]).await.unwrap();
+        let (n, source) = b.recv_from(&mut bytes).await.unwrap();
+        assert_eq!((&bytes[..n], source), (&b"one"[..], relay.known[0]), "it comes from where a is known");
+        relay.cut(&[0], &[1], true);
+        a.send_to(b"lost", relay.known[1]).await.unwrap();
+        b.send_to(b"back", source).await.unwrap();
+        let (n, _) = a.recv_from(&mut bytes).await.unwrap();
+        assert_eq!(&bytes[..n], b"back", "the way back is whole");
+        relay.cut(&[0], &[1], false);
+        a.send_to(b"two", relay.known[1]).await.unwrap();
+        let (n, _) = b.recv_from(&mut bytes).await.unwrap();
+        assert_eq!(&bytes[..n], b"two", "what was sent over the cut link is lost for good");
+
+        let listener = TcpListener::bind(relay.own[1]).await.unwrap();
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind(SocketAddr::from((relay.own[0].ip(), 0))).unwrap();
+        let mut here = socket.connect(relay.known[1]).await.unwrap();
+        here.write_all(b"state").await.unwrap();
+        let (mut there, source) = listener.accept().await.unwrap();
+        let n = there.read(&mut bytes).await.unwrap();
+        assert_eq!((&bytes[..n], source.ip()), (&b"state"[..], relay.known[0].ip()));
+    }
+
+    #[tokio::test]
+    async fn weather_loses_and_doubles_by_its_seed() {
+        let relay = Relay::start(2, 7).await.unwrap();
+        relay.weather(Weather { loss: 0.3, twice: 0.2, delay_ms: 5.0 });
+        let fates: Vec<usize> = (0..2_000).map(|_| relay.fate(0, 1).len()).collect();
+        let part = |n: usize| fates.iter().filter(|f| **f == n).count() as f64 / 2_000.0;
+        assert!((part(0) - 0.3).abs() < 0.04 && (part(2) - 0.14).abs() < 0.04, "{} {}", part(0), part(2));
+    }
+}
--- a/lab/src/rules.rs
+++ b/lab/src/rules.rs
@@ -3,7 +3,7 @@
 use crate::bench::Run;
 use crate::journal::{Entry, Seen};
 use crate::plan::Job;
-use crate::scenario::{Effect, FALL_MS, OVERLOAD, WINDOW_MS};
+use crate::scenario::{Effect, Fault, Kind, FALL_MS, OVERLOAD, WINDOW_MS};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 
@@ -35,6 +35,9 @@
     Early,
     /// What waits for a job that was not served never goes to a worker.
     Doomed,
+    /// Schedulers that know of each other find those to be gone that are, and nobody else, once for each fault; in the
+    /// end all agree that all are there.
+    Members,
 }
 
 /// What breaks a rule.
@@ -64,9 +67,55 @@
     drains(&world, &mut add);
     cold(&world, &mut add);
     waits(&world, &mut add);
+    members(run, &mut add);
     breaches.into_iter().map(|(rule, (count, examples))| Breach { rule, count, examples }).collect()
 }
 
+/// Membership, by what the schedulers show of it. Only order counts: which views there were, not when.
+fn members(run: &Run, add: &mut impl FnMut(Rule, String)) {
+    let (Some(members), n) = (&run.scenario.members, run.scenario.schedulers) else { return };
+    let faults = &run.scenario.fault;
+    let falls = |f: &Fault, of: usize| matches!(f.kind, Kind::Down | Kind::Kill) && f.who.contains(&of);
+    let granted = |of: usize| faults.iter().filter(|f| f.grants.contains(&of) || falls(f, of)).count();
+    let mut views: Vec<Vec<(f64, &str, bool)>> = vec![Vec::new(); n];
+    let mut killed = vec![None; n];
+    for Entry { at, seen } in &run.entries {
+        match seen {
+            Seen::View { scheduler, states, minority } => views[*scheduler].push((*at, states, *minority)),
+            Seen::Killed { scheduler } => killed[*scheduler] = Some(*at),
+            _ => {}
+        }
+    }
+    let is = |states: &str, of: usize, letter: u8| states.as_bytes().get(of) == Some(&letter);
+    for (by, views) in views.iter().enumerate() {
+        for of in 0..n {
+            let begins = |two: &[(f64, &str, bool)]| !is(two[0].1, of, b'g') && is(two[1].1, of, b'g');
+            let times = views.windows(2).filter(|two| begins(two)).count();
+            if times > granted(of) {
+                add(
+                    Rule::Members,
+                    format!("s{by} found s{of} to be gone {times} times, {} granted", granted(of)),
+                );
+            }
+        }
+        match views.last() {
+            Some((_, states, false)) if states.bytes().all(|letter| letter == b'a') => {}
+            last => add(Rule::Members, format!("in the end s{by} believes {last:?}")),
+        }
+    }
+    // Who is down for long enough is found to be gone by all that are not themselves in trouble.
+    let enough = (members.suspicion_ms + 8.0 * members.probe_ms) / 1e3;
+    let down = faults.iter().filter(|f| f.kind == Kind::Down && f.for_s >= enough);
+    for of in down.flat_map(|f| f.who.iter().copied()) {
+        let since = killed[of].unwrap_or(f64::INFINITY);
+        for by in (0..n).filter(|by| *by != of && granted(*by) == 0) {
+            if !views[by].iter().any(|(at, states, _)| *at > since && is(states, of, b'g')) {
+                add(Rule::Members, format!("s{by} did not notice that s{of} was killed"));
+            }
+        }
+    }
+}
+
 /// What was seen of a job.
 #[derive(Default)]
 pub struct Story<'a> {
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -24,6 +24,9 @@
     /// The setup file that schedulers get, if any.
     #[serde(default)]
     pub setup: Option<String>,
+    /// Schedulers know of each other, over links that can be cut.
+    #[serde(default)]
+    pub members: Option<Members>,
     /// The workers.
     pub fleet: Fleet,
     /// The classes of jobs; shares are made to add up.
@@ -67,6 +70,18 @@
     pub cell: usize,
 }
 
+/// Schedulers as members.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Members {
+    /// Their zones, in turn.
+    pub zones: usize,
+    /// Between two pings, in milliseconds.
+    pub probe_ms: f64,
+    /// Silence after which a member is accused, in milliseconds.
+    pub suspicion_ms: f64,
+}
+
 /// A class of jobs.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -165,6 +180,12 @@
     /// With which workers, by number, or with which scheduler.
     #[serde(default)]
     pub who: Vec<usize>,
+    /// Schedulers that others may find to be gone because of it, though they run.
+    #[serde(default)]
+    pub grants: Vec<usize>,
+    /// To which schedulers, where links are cut.
+    #[serde(default)]
+    pub to: Vec<usize>,
     /// For how long, in seconds, where it ends.
     #[serde(default)]
     pub for_s: f64,
@@ -197,6 +218,14 @@
     Discovery,
     /// A scheduler is killed outright and started again.
     Kill,
+    /// A scheduler is killed outright and started again after the time.
+    Down,
+    /// A scheduler is stopped by SIGSTOP, and goes on after the time.
+    Pause,
+    /// Links from schedulers to others are cut, one way.
+    Cut,
+    /// All links between schedulers lose this part (the factor) and delay by up to 300 ms, and double a tenth.
+    Weather,
     /// A scheduler gets SIGTERM and is started again once it has ended.
     Term,
     /// A scheduler is followed by a new process, then gets SIGTERM.
@@ -267,7 +296,14 @@
         }
         for fault in &s.fault {
             let count = if fault.kind.concerns_workers() { s.fleet.workers } else { s.schedulers };
-            if let Some(other) = fault.who.iter().find(|who| **who >= count) {
+            let links = matches!(fault.kind, Kind::Cut | Kind::Weather);
+            if links && s.members.is_none() {
+                bail!("a {:?} at {} s needs [members]", fault.kind, fault.at_s);
+            }
+            if fault.kind == Kind::Weather && !(0.0..1.0).contains(&fault.factor) {
+                bail!("the factor of weather at {} s is the part that is lost, from 0 to 1", fault.at_s);
+            }
+            if let Some(other) = fault.who.iter().chain(&fault.to).find(|who| **who >= count) {
                 bail!("a {:?} at {} s names number {other}; there are {count}", fault.kind, fault.at_s);
             }
         }
--- a/lab/src/schedulers.rs
+++ b/lab/src/schedulers.rs
@@ -1,7 +1,8 @@
 //! The real program, one or several of it, started and stopped as its operators would.
 
 use crate::journal::{Journal, Seen};
-use crate::scenario::{Effect, Scenario, FALL_MS, OVERLOAD, WINDOW_MS};
+use crate::relay::Relay;
+use crate::scenario::{Effect, Members, Scenario, FALL_MS, OVERLOAD, WINDOW_MS};
 use crate::wire::{self, Wire};
 use anyhow::{bail, Context, Result};
 use rustix::process::{kill_process, Pid, Signal};
@@ -33,6 +34,11 @@
     Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
 }
 
+/// The name under which others know a scheduler.
+fn member(n: usize) -> String {
+    format!("s{n}")
+}
+
 /// One scheduler.
 pub struct Scheduler {
     number: usize,
@@ -40,6 +46,9 @@
     binary: PathBuf,
     folder: PathBuf,
     discovery: SocketAddr,
+    /// What is in its setup on membership.
+    members: String,
+    seen: Option<(String, bool)>,
     child: Option<Child>,
     /// How many processes there have been.
     starts: u32,
@@ -62,8 +71,21 @@
         let folder = out.join(format!("scheduler-{number}"));
         std::fs::create_dir_all(&folder).with_context(|| format!("{}", folder.display()))?;
         let folder = folder.canonicalize()?;
-        let (child, starts) = (None, 0);
-        Ok(Scheduler { number, place, binary: binary.into(), folder, discovery, child, starts, journal })
+        let (child, starts, members, seen) = (None, 0, String::new(), None);
+        let binary = binary.into();
+        Ok(Scheduler { number, place, binary, folder, discovery, members, seen, child, starts, journal })
+    }
+
+    /// Makes it a member of all that the relay joins.
+    pub fn with_members(mut self, members: &Members, relay: &Relay) -> Scheduler {
+        let n = self.number;
+        let seeds = relay.known.iter().take(3).map(|addr| format!("<seed addr=\"{addr}\"/>"));
+        let seeds: String = seeds.collect();
+        self.members = format!(
+            "<members name=\"{}\" zone=\"z{}\" listen=\"{}\" advertise=\"{}\" probe=\"{}ms\" suspicion=\"{}ms\" removal=\"{}ms\">{seeds}</members>",
+            member(n), n % members.zones.max(1), relay.own[n], relay.known[n], members.probe_ms, members.suspicion_ms, members.probe_ms,
+        );
+        self
     }
 
     fn config(&self, scenario: &Scenario, mgmt: SocketAddr) -> serde_json::Value {
@@ -98,8 +120,10 @@
         let log = std::fs::File::create(self.folder.join(format!("log-{}.txt", self.starts)))?;
         let mut command = Command::new(&self.binary);
         command.arg("serve").arg("--config").arg(&config);
-        if let Some(setup) = &scenario.setup {
+        if scenario.setup.is_some() || !self.members.is_empty() {
             let path = self.folder.join("setup.xml");
+            let plain = scenario.setup.as_deref().unwrap_or("<postusher></postusher>");
+            let setup = plain.replacen("</postusher>", &format!("{}</postusher>", self.members), 1);
             std::fs::write(&path, setup)?;
             command.arg("--setup").arg(path);
         }
@@ -146,11 +170,29 @@
     /// # Errors
     /// It does not start again.
     pub async fn kill(&mut self, scenario: &Scenario) -> Result<()> {
+        self.down().await?;
+        self.start(scenario).await
+    }
+
+    /// Kills it outright.
+    ///
+    /// # Errors
+    /// The system does not do it.
+    pub async fn down(&mut self) -> Result<()> {
         if let Some(mut child) = self.child.take() {
             self.journal.write(Seen::Killed { scheduler: self.number });
             child.kill().await?;
         }
-        self.start(scenario).await
+        Ok(())
+    }
+
+    /// Stops it, or lets it go on.
+    ///
+    /// # Errors
+    /// It has ended.
+    pub fn pause(&self, stop: bool) -> Result<()> {
+        let signal = if stop { Signal::STOP } else { Signal::CONT };
+        Scheduler::signal(self.child.as_ref().context("it does not run")?, signal)
     }
 
     /// Has it end by SIGTERM, and waits for that.
@@ -199,6 +241,27 @@
         ask(self.place.mgmt, line).await
     }
 
+    /// Writes down what it believes of the others, if that has changed.
+    pub async fn note_view(&mut self, schedulers: usize) {
+        if self.members.is_empty() {
+            return;
+        }
+        let Ok((200, body)) = self.call("GET /members").await else { return };
+        let Ok(shown) = serde_json::from_slice::<serde_json::Value>(&body) else { return };
+        let mut states = vec!['-'; schedulers];
+        for m in shown["members"].as_array().into_iter().flatten() {
+            let of = (0..schedulers).find(|n| m["name"] == member(*n));
+            let letter = m["state"].as_str().and_then(|state| state.chars().next());
+            of.zip(letter).into_iter().for_each(|(n, letter)| states[n] = letter);
+        }
+        let new = (states.into_iter().collect::<String>(), shown["minority"] == true);
+        if self.seen.as_ref() != Some(&new) {
+            let (states, minority) = new.clone();
+            self.journal.write(Seen::View { scheduler: self.number, states, minority });
+            self.seen = Some(new);
+        }
+    }
+
     /// Writes its figures down.
     pub async fn note_figures(&self) {
         let Ok((200, body)) = self.call("GET /stats").await else { return };
--- a/lab/tests/runs.rs
+++ b/lab/tests/runs.rs
@@ -2,6 +2,7 @@
 //! checker must find. Needs the program to be built: `cargo test --workspace` does that.
 
 use postusher_lab::bench::{beside, play, Options, Run};
+use postusher_lab::journal::{Entry, Seen};
 use postusher_lab::report::report;
 use postusher_lab::rules::{check, Rule};
 use postusher_lab::scenario::Scenario;
@@ -52,6 +53,22 @@
     keeps_all_rules("sick.toml");
 }
 
+#[test]
+fn schedulers_that_know_of_each_other_serve_and_agree_through_cuts_weather_pauses_and_crashes() {
+    let run = run("members", &scenario("members.toml"), None);
+    let report = report(&run, 1, check(&run)).unwrap();
+    let said = report.lines().join("\n");
+    assert!(report.breaches.is_empty(), "{said}");
+    let served: usize = report.classes.values().map(|c| c.served).sum();
+    assert!(served * 10 > report.jobs * 8 && report.jobs > 1_000, "{said}");
+    // The smaller side of the cut knew that it was.
+    let small = |e: &&Entry| matches!(e.seen, Seen::View { scheduler: 1 | 4, minority: true, .. });
+    assert!(run.entries.iter().filter(small).count() >= 2);
+    let gone =
+        |e: &&Entry| matches!(&e.seen, Seen::View { scheduler: 3, states, .. } if states.contains('g'));
+    assert!(run.entries.iter().filter(gone).count() >= 4, "a zone, a sleeper and two crashes");
+}
+
 #[test]
 fn jobs_wait_through_an_upgrade_and_a_restart_and_those_of_a_killed_scheduler_are_excused() {
     keeps_all_rules("restarts.toml");
--- a/node/src/direct/mod.rs
+++ b/node/src/direct/mod.rs
@@ -41,6 +41,11 @@
             "{path}: <waiting> is for jobs of the platform's protocol; leave it out beside pools"
         ));
     }
+    if setup.members.is_some() {
+        return Err(format!(
+            "{path}: <members> is for schedulers of the platform's protocol; leave it out beside pools"
+        ));
+    }
     if let Some(few) = setup.sockets.filter(|n| *n < FEWEST_SOCKETS) {
         return Err(format!("{path}: sockets is {few}; {FEWEST_SOCKETS} at least"));
     }
--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -11,8 +11,10 @@
 use crate::invariant;
 use crate::key::Key;
 use crate::listener::{self, State};
+use crate::members::Exchange;
 use crate::reload::Reload;
 use crate::target_group::{self, TargetGroup};
+use members::Membership;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
 use postusher::{JobId, ListKind};
@@ -29,6 +31,7 @@
 mod forwards;
 mod listeners;
 mod managers;
+mod members;
 mod sockets;
 mod upgrade;
 mod watch;
@@ -38,6 +41,8 @@
 const MANAGEMENT: Token = Token(usize::MAX - 2);
 const PEER: Token = Token(usize::MAX - 3);
 const DOOR: Token = Token(usize::MAX - 4);
+const DATAGRAMS: Token = Token(usize::MAX - 5);
+const EXCHANGES: Token = Token(usize::MAX - 6);
 /// Descriptors beside the connections of clients and targets: standard streams, poll, listener, signals, discovery, the
 /// other process of an upgrade, and room for what libraries open.
 const OWN_DESCRIPTORS: usize = 13;
@@ -53,8 +58,9 @@
 const COUNTERS_EVERY: Millis = 60_000.0;
 
 /// How many connections from outside and to targets there may be, of so many descriptors.
-fn shares(descriptors: usize, managed: bool) -> (usize, usize) {
+fn shares(descriptors: usize, managed: bool, member: bool) -> (usize, usize) {
     let own = OWN_DESCRIPTORS + if managed { managers::DESCRIPTORS } else { 0 };
+    let own = own + if member { members::DESCRIPTORS } else { 0 };
     let connections = descriptors.saturating_sub(own).max(FEWEST_CONNECTIONS);
     (connections - connections / FORWARDS_ONE_IN, connections / FORWARDS_ONE_IN)
 }
@@ -68,6 +74,8 @@
     Forward(forward::Connection),
     /// The connection to discovery.
     Discovery(target_group::Connection),
+    /// A connection to or from another member.
+    Exchange(Exchange),
 }
 
 impl Role {
@@ -76,6 +84,7 @@
             Role::Listener(c, _) | Role::Manager(c) => &mut c.outbox,
             Role::Forward(c) => &mut c.outbox,
             Role::Discovery(c) => &mut c.outbox,
+            Role::Exchange(c) => &mut c.outbox,
         }
     }
 
@@ -135,6 +144,8 @@
     /// Connections to targets, likewise.
     forwards: usize,
     most_forwards: usize,
+    /// This scheduler as a member among others, where the setup says so.
+    members: Option<Membership>,
     dispatch: Dispatch,
     group: TargetGroup,
     watch: Option<Key>,
@@ -165,7 +176,13 @@
         let listener = TcpListener::from_std(start.listener);
         poll.registry().register(&mut signals, SIGNAL, Interest::READABLE)?;
         let management = config.mgmt.map(|addr| managers::listen(addr, poll.registry())).transpose()?;
-        let (most_listeners, most_forwards) = shares(config.sockets, management.is_some());
+        let (most_listeners, most_forwards) =
+            shares(config.sockets, management.is_some(), config.setup.0.members.is_some());
+        let mut membership = config.setup.0.members.as_ref().map(|m| Membership::new(m, config.seed, &clock));
+        // In an upgrade the process before has the address until this one takes clients.
+        if let Some(membership) = membership.as_mut().filter(|_| start.before.is_none()) {
+            membership.bind(poll.registry())?;
+        }
         let site = Rc::new(config.site);
         let longest = site.classes.iter().map(|(_, limit)| *limit).fold(0.0, f64::max);
         let limits = config.setup.limits(&site);
@@ -203,6 +220,7 @@
             most_listeners,
             forwards: 0,
             most_forwards,
+            members: membership,
             dispatch,
             group,
             watch: None,
@@ -228,7 +246,8 @@
             self.move_clients();
         }
         self.log_counters("at the end");
-        Ok(())
+        let taken = self.members.as_mut().and_then(|m| m.taken.take());
+        taken.map_or(Ok(()), |why| Err(io::Error::other(why)))
     }
 
     fn is_over(&self) -> bool {
@@ -245,9 +264,11 @@
         let accept = (self.accept_at > 0.0).then_some(self.accept_at);
         // Once they are to be closed, connections fall idle one by one.
         let closes = self.drain.closes_at().map(|at| at.max(now + CLOSE_EVERY));
-        let wakes = [self.dispatch.next_due(now), self.timers.next(), closes, accept];
+        let member = self.members.as_ref().and_then(Membership::next_wake);
+        let wakes = [self.dispatch.next_due(now), self.timers.next(), closes, accept, member];
         let next = wakes.into_iter().flatten().fold(now + LONGEST_SLEEP, f64::min);
-        let more = self.dispatch.has_events() || !self.again.is_empty();
+        let left = self.members.as_ref().is_some_and(Membership::has_more);
+        let more = self.dispatch.has_events() || !self.again.is_empty() || left;
         let micros = if more { 0.0 } else { ((next - now) * 1e3).ceil().max(0.0) };
         match self.poll.poll(events, Some(Duration::from_micros(micros as u64))) {
             Err(e) if e.kind() != ErrorKind::Interrupted => Err(e),
@@ -268,6 +289,8 @@
                 SIGNAL => self.signalled(),
                 PEER => self.peer_ready(),
                 DOOR => self.knocked(),
+                DATAGRAMS => self.datagrams(),
+                EXCHANGES => self.accept_exchanges(),
                 Token(slot) => self.ready(slot),
             }
         }
@@ -280,6 +303,7 @@
             self.socket_due(key, now);
         }
         self.dispatch.due(now);
+        self.mind_members(now);
         if self.drain.is_closing(now) {
             self.close_idle_listeners(now);
         }
@@ -354,6 +378,9 @@
         }
         self.drain.begin(self.clock.now());
         if !self.drain.has_successor() {
+            if self.members.as_ref().is_some_and(|m| m.taken.is_none()) {
+                self.leave_members();
+            }
             self.drain.ends_at().into_iter().for_each(|at| self.dispatch.ends_at(at));
             self.dispatch.close_waiting();
         }
@@ -402,7 +429,7 @@
             Role::Listener(c, _) => c.state() == State::Busy || !c.outbox.unsent().is_empty(),
             Role::Forward(c) => c.task() == Some(Task::Withdrawal),
             Role::Manager(c) => !c.outbox.unsent().is_empty(),
-            Role::Discovery(_) => false,
+            Role::Discovery(_) | Role::Exchange(_) => false,
         }
     }
 }
--- a/node/src/event_loop/managers.rs
+++ b/node/src/event_loop/managers.rs
@@ -79,6 +79,11 @@
             Ok(Err(No::Unknown)) => status(404),
             Ok(Err(No::Method(allow))) => Some(http::response(405, &[("Allow", allow.into())], b"", false)),
             Ok(Ok(Call::Stats)) => None,
+            Ok(Ok(Call::Members)) => {
+                let json = [("Content-Type", "application/json".to_string())];
+                let shown = self.members_json();
+                shown.map(|body| http::response(200, &json, body.as_bytes(), false)).or_else(|| status(404))
+            }
             Ok(Ok(Call::Healthcheck)) => {
                 let takes = self.upgrade.takes_clients && self.drain.is_healthy();
                 status(if takes { 200 } else { 503 })
@@ -129,7 +134,7 @@
                 self.dispatch.taken_back(target);
                 log::info!("{name} is taken back");
             }
-            Call::Healthcheck | Call::Stats => {}
+            Call::Healthcheck | Call::Stats | Call::Members => {}
         }
         true
     }
@@ -145,6 +150,7 @@
             in_flight: self.dispatch.unanswered(),
             workers_known: self.group.listed().count(),
             workers_excluded: avoided,
+            members: self.members_gauges(),
             over_share: self.dispatch.over_share(),
             waiting,
         })
--- a/node/src/event_loop/sockets.rs
+++ b/node/src/event_loop/sockets.rs
@@ -48,7 +48,7 @@
             Role::Listener(..) => self.listeners += 1,
             Role::Forward(_) => self.forwards += 1,
             Role::Manager(_) => self.managers += 1,
-            Role::Discovery(_) => {}
+            Role::Discovery(_) | Role::Exchange(_) => {}
         }
         entry.insert(Socket { stream, key, role, connecting, deadline });
         self.set_deadline(key, deadline);
@@ -85,6 +85,7 @@
                 self.pool.remove(c.target, key);
             }
             Role::Discovery(_) if self.watch == Some(key) => self.watch = None,
+            Role::Exchange(_) => self.exchange_closed(),
             _ => {}
         }
     }
@@ -223,6 +224,7 @@
                 }
                 self.rest(key);
             }
+            Role::Exchange(_) => self.exchanged(key, bytes, now),
             Role::Discovery(c) => {
                 let answer = c.receive(bytes);
                 if let Some(answer) = answer {
@@ -278,7 +280,7 @@
                     self.dispatch.client_gone(job, now);
                 }
             }
-            Role::Manager(_) => self.close(key),
+            Role::Manager(_) | Role::Exchange(_) => self.close(key),
             Role::Forward(c) => {
                 let (ended, target) = (c.broken(), c.target);
                 self.close(key);
@@ -304,7 +306,7 @@
                 self.reply(key, now, false, |keep| http::response(fault.0, &[], b"", keep));
                 self.drive(key);
             }
-            Role::Listener(..) | Role::Manager(_) => self.broken(key),
+            Role::Listener(..) | Role::Manager(_) | Role::Exchange(_) => self.broken(key),
             Role::Forward(c) => match c.task() {
                 Some(Task::Probe(worker)) if c.is_up() => {
                     self.close(key);
--- a/node/src/event_loop/upgrade.rs
+++ b/node/src/event_loop/upgrade.rs
@@ -424,7 +424,7 @@
     pub(super) fn share(&mut self) {
         let parts = 1 + usize::from(self.upgrade.peer.is_some());
         (self.most_listeners, self.most_forwards) =
-            shares(self.descriptors / parts, self.management.is_some());
+            shares(self.descriptors / parts, self.management.is_some(), self.members.is_some());
         while self.listeners > self.most_listeners && self.free_listener() {}
         while self.forwards > self.most_forwards && self.pool.any().map(|idle| self.close(idle)).is_some() {}
     }
--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -1,5 +1,6 @@
 //! The figures of a scheduler since its start: one owner of all that is counted, and what `GET /stats` shows of it.
 
+use crate::members::MembersGauges;
 use postusher_waiting::End;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -62,6 +63,9 @@
     /// Jobs of each customer that were sent over its share.
     #[serde(skip)]
     pub over_share: Vec<u64>,
+    /// Of membership, where this scheduler is a member.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub members: Option<MembersGauges>,
     /// Of the waiting room, where there is one.
     #[serde(flatten)]
     pub waiting: Option<WaitingGauges>,
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -19,6 +19,7 @@
 mod key;
 mod listener;
 mod management;
+mod members;
 #[cfg(test)]
 mod model;
 mod news;
@@ -101,10 +102,12 @@
             serving.map_err(|e| format!("{name}: {e}"))?;
         }
         Command::Check { setup } => {
-            let Setup { waiting, pools, .. } = postusher_setup::load(&setup)?;
+            let Setup { waiting, pools, members, .. } = postusher_setup::load(&setup)?;
             let jobs = waiting.map_or("nothing waits".to_string(), |w| format!("up to {} jobs wait", w.jobs));
             let workers: usize = pools.iter().map(|p| p.workers.len()).sum();
-            println!("{}: good; {jobs}, {} pools with {workers} workers", setup.display(), pools.len());
+            let member = members.map_or(String::new(), |m| format!(", member {} of {}", m.name, m.cluster));
+            let (path, pools) = (setup.display(), pools.len());
+            println!("{path}: good; {jobs}, {pools} pools with {workers} workers{member}");
         }
         Command::CheckConfig(arg) => {
             let config = Config::load(&arg.config, None)?;
--- a/node/src/management.rs
+++ b/node/src/management.rs
@@ -11,6 +11,8 @@
     Healthcheck,
     /// The figures.
     Stats,
+    /// What is believed of other schedulers.
+    Members,
     /// Send a target nothing new, until it is taken back.
     TakeOut(String),
     /// Use a target again.
@@ -37,6 +39,7 @@
     let (method, call) = match parts[..] {
         ["", "healthcheck"] => ("GET", Call::Healthcheck),
         ["", "stats"] => ("GET", Call::Stats),
+        ["", "members"] => ("GET", Call::Members),
         ["", "workers", id, "maint"] => ("PUT", Call::TakeOut(id.to_string())),
         ["", "workers", id, "ready"] => ("PUT", Call::TakeBack(id.to_string())),
         ["", "healthcheck", "fail"] => ("PUT", Call::Drain),
@@ -62,6 +65,7 @@
         };
         assert_eq!(read("GET /healthcheck"), Ok(Call::Healthcheck));
         assert_eq!(read("GET /stats?all=1"), Ok(Call::Stats));
+        assert_eq!((read("GET /members"), read("PUT /members")), (Ok(Call::Members), Err(No::Method("GET"))));
         assert_eq!(read("PUT /workers/s-1/maint"), Ok(Call::TakeOut("s-1".into())));
         assert_eq!(read("PUT /workers/s-1/ready"), Ok(Call::TakeBack("s-1".into())));
         assert_eq!(read("PUT /healthcheck/fail"), Ok(Call::Drain));
--- a/node/src/reload.rs
+++ b/node/src/reload.rs
@@ -48,7 +48,13 @@
             ("settings", config.site != self.site),
             ("<waiting>", has_waiting(&config.setup) != has_waiting(&self.setup)),
         ];
-        let restart = parts.into_iter().filter(|(_, changed)| *changed).map(|(part, _)| part).collect();
+        let members = ("<members>", config.setup.0.members != self.setup.0.members);
+        let restart = parts
+            .into_iter()
+            .chain([members])
+            .filter(|(_, changed)| *changed)
+            .map(|(part, _)| part)
+            .collect();
         let waiting = config.setup.limits(&self.site);
         Ok(New { discovery: config.discovery, sockets: config.sockets, waiting, restart })
     }
--- a/setup/src/lib.rs
+++ b/setup/src/lib.rs
@@ -10,9 +10,11 @@
 #![forbid(unsafe_code)]
 
 mod element;
+mod members;
 pub mod pool;
 mod units;
 
+pub use members::Members;
 pub use pool::{Pool, Repeat, Role, Route, State, Sticky, Worker};
 
 use element::Element;
@@ -36,6 +38,8 @@
     pub pools: Vec<Pool>,
     /// Jobs may wait for others or for a time.
     pub waiting: Option<Waiting>,
+    /// Schedulers know of each other.
+    pub members: Option<Members>,
 }
 
 /// The waiting room. Times are in milliseconds.
@@ -175,9 +179,14 @@
     for child in root.children(mistakes) {
         match child.name() {
             "pool" => pool::read(child, &mut setup.pools, mistakes),
+            "waiting" if setup.waiting.is_none() && setup.members.is_some() => {
+                child.wrong(mistakes, "<waiting> stands after <members>".into(), "move it before".into());
+            }
             "waiting" if setup.waiting.is_none() => setup.waiting = Some(waiting(child, mistakes)),
             "waiting" => child.wrong(mistakes, "<waiting> stands here twice".into(), "join the two".into()),
-            _ => child.unknown(mistakes, &["pool", "waiting"]),
+            "members" if setup.members.is_none() => setup.members = Some(members::read(child, mistakes)),
+            "members" => child.wrong(mistakes, "<members> stands here twice".into(), "join the two".into()),
+            _ => child.unknown(mistakes, &["pool", "waiting", "members"]),
         }
     }
     root.no_more_attributes(mistakes);
--- a/setup/src/units.rs
+++ b/setup/src/units.rs
@@ -57,6 +57,15 @@
     text.parse().map_err(|_| "write IP:PORT, such as 127.0.0.1:8080 or [::1]:8080".into())
 }
 
+/// An address that others are told of: not any port.
+pub fn fixed_address(text: &str) -> Result<std::net::SocketAddr, String> {
+    let fixed = text
+        .parse()
+        .ok()
+        .filter(|addr: &std::net::SocketAddr| addr.port() != 0 && !addr.ip().is_unspecified());
+    fixed.ok_or_else(|| "write IP:PORT as others reach it, such as 127.0.0.11:7946".into())
+}
+
 /// Where a worker listens: a name or an address, and a port.
 pub fn place(text: &str) -> Result<String, String> {
     let instead = || "write HOST:PORT, such as 127.0.0.1:9001 or app1.example.org:8080".to_string();
