--- a/members/src/member.rs
+++ b/members/src/member.rs
@@ -15,6 +15,8 @@
 const DOUBT: f64 = 2.0;
 /// So many others are asked to ping in its place.
 const RELAYS: usize = 3;
+/// Drawn by chance from so many.
+const DRAWN: usize = 12;
 /// Subjects without proof of life for this part of the suspicion time count as not heard.
 const UNHEARD: f64 = 0.6;
 /// An accusation that stands is said again after so many intervals.
@@ -132,6 +134,8 @@
     /// Of the subjects of this view of the roster.
     watches: BTreeMap<Id, Watch>,
     watched_at: Option<u64>,
+    /// The others that are there, in an order by chance.
+    there: Vec<Id>,
     /// Pings whose answers may come: whom they went to, and when.
     asked: BTreeMap<u64, (Id, Millis)>,
     relayed: BTreeMap<u64, Relayed>,
@@ -163,6 +167,7 @@
             due: now,
             watches: BTreeMap::new(),
             watched_at: None,
+            there: Vec::new(),
             asked: BTreeMap::new(),
             relayed: BTreeMap::new(),
             gossip: Gossip::default(),
@@ -340,6 +345,9 @@
         self.watched_at = Some(self.roster.view());
         let subjects: BTreeSet<Id> = self.roster.subjects(self.me);
         self.watches.retain(|id, _| subjects.contains(id));
+        let alive = |(_, r): &(Id, &Record)| r.standing == Standing::Alive;
+        self.there =
+            self.roster.records().filter(alive).map(|(id, _)| id).filter(|id| *id != self.me).collect();
         for id in subjects {
             // Not all in one moment.
             let ping_at = self.now + self.chance() * self.config.times.probe;
@@ -362,24 +370,18 @@
     /// Asks others to ping in its place; of other zones than those asked already, while there are any.
     fn ask_others(&mut self, subject: Id, out: &mut Vec<Action>) {
         let Some(addr) = self.roster.get(subject).map(|r| r.addr) else { return };
-        let here = |r: &Record| r.standing == Standing::Alive;
-        let mut others: Vec<(Id, String, SocketAddr)> = self
-            .roster
-            .records()
-            .filter(|(id, r)| *id != self.me && *id != subject && here(r))
-            .map(|(id, r)| (id, r.zone.clone(), r.addr))
-            .collect();
-        for i in 0..others.len() {
-            let with = i + self.below(others.len() - i);
-            others.swap(i, with);
-        }
-        let (mut zones, mut asked) = (BTreeSet::new(), Vec::new());
-        let (new, rest): (Vec<_>, Vec<_>) =
-            others.into_iter().partition(|(_, zone, _)| zones.insert(zone.clone()));
-        for (_, _, relay) in new.into_iter().chain(rest).take(RELAYS) {
-            asked.push(relay);
-        }
-        for relay in asked {
+        let mut drawn = Vec::new();
+        for at in 0..self.there.len().min(DRAWN) {
+            let with = at + self.below(self.there.len() - at);
+            self.there.swap(at, with);
+            drawn.extend(Some(self.there[at]).filter(|id| *id != subject));
+        }
+        let mut zones = BTreeSet::new();
+        let drawn: Vec<&Record> = drawn.iter().filter_map(|id| self.roster.get(*id)).collect();
+        let (new, rest): (Vec<&Record>, Vec<&Record>) =
+            drawn.into_iter().partition(|r| zones.insert(r.zone.as_str()));
+        let relays: Vec<SocketAddr> = new.into_iter().chain(rest).take(RELAYS).map(|r| r.addr).collect();
+        for relay in relays {
             let nonce = self.nonce();
             self.asked.insert(nonce, (subject, self.now));
             self.figures.indirect += 1;
@@ -551,6 +553,10 @@
         for part in parts {
             match part {
                 Part::Record(record) if record.id() == self.me && !self.is_in() => mine = Some(record),
+                // A member that is new here passes word of itself on: a thousand that start at once are told of once.
+                Part::Record(record) if record.id() != self.me && self.roster.get(record.id()).is_none() => {
+                    self.roster.take(record, self.now);
+                }
                 Part::Record(record) => self.heard(record, out),
                 _ => {}
             }
--- /dev/null
+++ b/node/tests/serve/members.rs
@@ -0,0 +1,107 @@
+//! Schedulers that know of each other, on sockets: what the state machine does is tested in `members/` and in the
+//! laboratory; here it is whether the process carries it out.
+
+use super::*;
+use std::net::UdpSocket;
+use std::time::Instant;
+
+/// An address that only this test uses.
+fn free(host: u8) -> SocketAddr {
+    TcpListener::bind(SocketAddr::from(([127, 88, 0, host], 0))).unwrap().local_addr().unwrap()
+}
+
+/// A setup file of a member that finds others at these seeds.
+fn setup(file: &str, name: &str, listen: SocketAddr, seeds: &[SocketAddr]) -> PathBuf {
+    let seeds: String = seeds.iter().map(|addr| format!("<seed addr=\"{addr}\"/>")).collect();
+    let text = format!(
+        "<postusher><members name=\"{name}\" zone=\"z\" listen=\"{listen}\" probe=\"100ms\" suspicion=\"20s\">{seeds}</members></postusher>"
+    );
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{file}.xml"));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn member(file: &str, name: &str, listen: SocketAddr, seeds: &[SocketAddr]) -> Scheduler {
+    let target = TcpListener::bind("127.0.0.1:0").unwrap();
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let config = config(file, discovery.local_addr().unwrap(), target.local_addr().unwrap(), 1);
+    Scheduler::launch(config, Some(setup(file, name, listen, seeds)), target, discovery)
+}
+
+/// Waits until what operators get has this in it, or lacks it.
+fn comes(s: &Scheduler, call: &str, part: &str) -> String {
+    let until = Instant::now() + HANG;
+    loop {
+        let shown = s.call(call).1;
+        if shown.contains(part) {
+            return shown;
+        }
+        assert!(Instant::now() < until, "{shown} never shows {part}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn believed(name: &str, addr: SocketAddr, incarnation: u64, state: &str) -> String {
+    format!(r#""name":"{name}","zone":"z","addr":"{addr}","incarnation":{incarnation},"state":"{state}""#)
+}
+
+#[test]
+fn two_find_each_other_serve_meanwhile_and_hear_when_one_leaves() {
+    let [at_a, at_b] = [free(1), free(2)];
+    let a = member("members-a", "a", at_a, &[]);
+    let mut b = member("members-b", "b", at_b, &[at_a]);
+    comes(&a, "GET /members", &believed("b", at_b, 1, "alive"));
+    comes(&b, "GET /members", &believed("a", at_a, 1, "alive"));
+    // Garbage from outside is counted and does nothing.
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    stranger.send_to(b"hello?", at_a).unwrap();
+    comes(&a, "GET /stats", r#""garbage":1"#);
+    let mut flood = TcpStream::connect(at_a).unwrap();
+    flood.write_all(&[0xff; 64]).unwrap();
+    assert_eq!(flood.read(&mut [0]).unwrap_or(0), 0, "a state longer than any can be is not waited for");
+    let mut client = a.connect();
+    client.job("t1");
+    let mut target = Peer::new(a.target.accept().unwrap().0);
+    target.message();
+    target.send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    a.news(r#"{"id":"t1","from":"s-1","state":"done","result":"r"}"#);
+    assert_eq!(client.message().0, "HTTP/1.1 200 OK");
+    b.signal("-TERM");
+    assert!(b.process.wait().unwrap().success());
+    comes(&a, "GET /members", &believed("b", at_b, 1, "left"));
+}
+
+#[test]
+fn the_second_of_a_name_says_so_and_ends() {
+    let [at_a, at_b, at_c] = [free(3), free(4), free(5)];
+    let a = member("members-first", "a", at_a, &[]);
+    let b = member("members-other", "b", at_b, &[at_a]);
+    comes(&b, "GET /members", &believed("a", at_a, 1, "alive"));
+    let mut second = member("members-second", "a", at_c, &[at_b]);
+    second.logs("a: another process that runs has its name; this scheduler ends");
+    assert!(!second.process.wait().unwrap().success());
+    assert!(
+        b.call("GET /members").1.contains(&believed("a", at_a, 1, "alive")) && a.says_yes("GET /healthcheck")
+    );
+}
+
+#[test]
+fn the_new_process_of_an_upgrade_is_the_same_member_under_a_higher_incarnation() {
+    let [at_a, at_b] = [free(6), free(7)];
+    let a = member("members-stays", "a", at_a, &[]);
+    let file = "members-upgraded";
+    let mut old = Scheduler::upgradable_with(file, 88, Some(setup(file, "b", at_b, &[at_a])));
+    comes(&a, "GET /members", &believed("b", at_b, 1, "alive"));
+    let (new, _watches) = old.upgraded();
+    old.signal("-TERM");
+    assert!(old.process.wait().unwrap().success());
+    comes(&a, "GET /members", &believed("b", at_b, 2, "alive"));
+    comes(&new, "GET /members", &believed("a", at_a, 1, "alive"));
+}
+
+#[test]
+fn without_members_in_the_setup_there_are_none() {
+    let s = Scheduler::start("no-members");
+    assert_eq!(s.call("GET /members").0, "404");
+    assert!(!s.call("GET /stats").1.contains("members"));
+}
