--- a/lab/examples/members.rs
+++ b/lab/examples/members.rs
@@ -5,6 +5,9 @@
 use plotters::prelude::*;
 use postusher_lab::virtual_net::{Links, Net, Seen};
 use postusher_members::{Devices, Standing};
+use rand::Rng;
+use rand_chacha::rand_core::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use std::fmt::Write as _;
 use std::path::Path;
 use std::thread;
@@ -38,6 +41,20 @@
     (times, unknown, wrong)
 }
 
+/// The baseline: each tells all once an interval that it lives, and is gone for whoever has heard nothing for five. Wrong
+/// removals of `n` members in these intervals, each counted once until it is heard again.
+fn heartbeat(n: usize, loss: f64, intervals: u64, seed: u64) -> usize {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let (mut missed, mut wrong) = (vec![0u32; n * n], 0);
+    for _ in 0..intervals {
+        for pair in (0..n * n).filter(|pair| pair / n != pair % n) {
+            missed[pair] = if rng.random::<f64>() < loss { missed[pair] + 1 } else { 0 };
+            wrong += usize::from(missed[pair] == 5);
+        }
+    }
+    wrong
+}
+
 fn part(sorted: &[f64], part: f64) -> f64 {
     let at = ((sorted.len() as f64 * part) as usize).min(sorted.len().saturating_sub(1));
     sorted.get(at).copied().unwrap_or(f64::NAN)
@@ -114,8 +131,8 @@
     writeln!(page, "\n![Time to know of a crash](crash.svg)\n")?;
 
     writeln!(page, "## Removed wrongly\n\nDelays of 150 to 450 ms, a tenth doubled; 10 members, 20 seeds. Of the others a tenth of that time.\n")?;
-    writeln!(page, "| loss | member-hours | protocol, whole time | without most observers | without indirect pings | without refutation | one accuser, no refutation |")?;
-    writeln!(page, "| --- | --- | --- | --- | --- | --- | --- |")?;
+    writeln!(page, "| loss | member-hours | protocol, whole time | without most observers | without indirect pings | without refutation | one accuser, no refutation | heartbeats of each to all |")?;
+    writeln!(page, "| --- | --- | --- | --- | --- | --- | --- | --- |")?;
     let all = Devices::default();
     let variants = [
         all,
@@ -142,6 +159,8 @@
             }
             write!(row, " {wrong} |")?;
         }
+        let beats = each(&seeds, |seed| heartbeat(10, loss, (hours / 20.0 / 10.0 * 3_600.0) as u64, *seed));
+        write!(row, " {} |", beats.into_iter().sum::<usize>())?;
         writeln!(page, "| {loss} | {} |{row}", 10.0 * hours)?;
     }
 
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -44,6 +44,24 @@
     pub breaches: Vec<Breach>,
     /// What is plotted.
     pub series: Series,
+    /// What schedulers that know of each other believed.
+    #[serde(default)]
+    pub believed: Vec<Believed>,
+}
+
+/// What one scheduler believed of another for a time; of itself, whether it knew to be on the smaller side (`m`).
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Believed {
+    /// Who.
+    pub by: usize,
+    /// Of whom.
+    pub of: usize,
+    /// From when on, in milliseconds.
+    pub from: f64,
+    /// And until when.
+    pub to: f64,
+    /// As in [`Seen::View`].
+    pub state: char,
 }
 
 /// Figures of a class.
@@ -195,9 +213,43 @@
     let ([median, _, p99, _], _) = spread(&waits)?;
     report.waiting.wait = [median, p99, waits.iter().copied().fold(0.0, f64::max)];
     series(run, &mut report);
+    report.believed = believed(run);
     Ok(report)
 }
 
+/// Each member's view of each other, in stretches of time.
+fn believed(run: &Run) -> Vec<Believed> {
+    let (n, last) = (run.scenario.schedulers, run.entries.last().map_or(0.0, |e| e.at));
+    let mut all = Vec::new();
+    for by in 0..n {
+        let views = run.entries.iter().filter_map(|e| match &e.seen {
+            Seen::View { scheduler, states, minority } if *scheduler == by => Some((e.at, states, *minority)),
+            _ => None,
+        });
+        let views: Vec<_> = views.collect();
+        for of in 0..n {
+            let state = |(_, states, minority): &(f64, &String, bool)| match (by == of, minority) {
+                (true, true) => 'm',
+                (true, false) => 'a',
+                _ => states.chars().nth(of).unwrap_or('-'),
+            };
+            for (nth, view) in views.iter().enumerate() {
+                let to = views.get(nth + 1).map_or(last, |next| next.0);
+                let stretch = Believed { by, of, from: view.0, to, state: state(view) };
+                match all.last_mut() {
+                    Some(Believed { by: b, of: o, to, state, .. })
+                        if (*b, *o, *state) == (by, of, stretch.state) =>
+                    {
+                        *to = stretch.to;
+                    }
+                    _ => all.push(stretch),
+                }
+            }
+        }
+    }
+    all
+}
+
 fn series(run: &Run, report: &mut Report) {
     let last = run.entries.last().map_or(0.0, |e| e.at);
     let steps = step(last) + 1;
@@ -281,6 +333,45 @@
     Ok(svg)
 }
 
+/// A strip for each member's view of each other over time, as SVG; the first letters of the states by colour.
+fn strips(report: &Report) -> Result<String> {
+    let n = report.believed.iter().map(|b| b.by.max(b.of) + 1).max().unwrap_or(0);
+    let last = report.believed.iter().map(|b| b.to).fold(0.0, f64::max) / 1e3;
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, (900, 90 + 7 * (n * n) as u32)).into_drawing_area();
+        let rows = (n * n) as f64;
+        let mut chart = ChartBuilder::on(&area)
+            .caption("views of members: green alive, yellow suspect, red gone, grey left, blue: knows it is the smaller side", ("sans-serif", 14))
+            .margin(8)
+            .x_label_area_size(32)
+            .y_label_area_size(90)
+            .build_cartesian_2d(0.0..last.max(1e-3), 0.0..rows)?;
+        let row = |y: &f64| match (*y as usize / n.max(1), *y as usize % n.max(1)) {
+            (by, 0) if by < n => format!("s{by} of all"),
+            _ => String::new(),
+        };
+        chart.configure_mesh().x_desc("seconds").y_labels(n + 1).y_label_formatter(&row).draw()?;
+        let color = |state: char| match state {
+            'a' => RGBColor(130, 190, 130),
+            's' => RGBColor(240, 200, 60),
+            'g' => RGBColor(200, 60, 50),
+            'l' => RGBColor(150, 150, 150),
+            'm' => RGBColor(70, 110, 200),
+            _ => WHITE,
+        };
+        chart.draw_series(report.believed.iter().map(|b| {
+            let y = (b.by * n + b.of) as f64;
+            Rectangle::new([(b.from / 1e3, y + 0.1), (b.to / 1e3, y + 0.9)], color(b.state).filled())
+        }))?;
+        for (at, _) in &report.faults {
+            chart.draw_series(LineSeries::new([(at / 1e3, 0.0), (at / 1e3, rows)], BLACK.mix(0.6)))?;
+        }
+        area.present()?;
+    }
+    Ok(svg)
+}
+
 /// The plots of one or several runs, side by side in each.
 fn plots(runs: &[(&str, &Report)]) -> Result<Vec<String>> {
     let time = |values: &mut dyn Iterator<Item = f64>| -> Points {
@@ -307,12 +398,16 @@
         }
         marks.extend(r.faults.iter().map(|(at, what)| (at / 1e3, what.clone())));
     }
-    Ok(vec![
+    let mut all = vec![
         lines("answers", "seconds", "a second", &answers, &marks)?,
         lines("jobs held and in flight", "seconds", "jobs", &held, &marks)?,
         lines("latency of served jobs by class", "nines (1: 90%, 2: 99%)", "ms", &curves, &[])?,
         lines("slots in use by worker", "seconds", "slots", &load, &marks)?,
-    ])
+    ];
+    for (_, report) in runs.iter().filter(|(_, r)| !r.believed.is_empty()) {
+        all.push(strips(report)?);
+    }
+    Ok(all)
 }
 
 /// Writes `report.json` and `report.html`.
--- a/lab/tests/runs.rs
+++ b/lab/tests/runs.rs
@@ -61,6 +61,9 @@
     assert!(report.breaches.is_empty(), "{said}");
     let served: usize = report.classes.values().map(|c| c.served).sum();
     assert!(served * 10 > report.jobs * 8 && report.jobs > 1_000, "{said}");
+    postusher_lab::report::write(&report, &out("members")).unwrap();
+    let page = std::fs::read_to_string(out("members").join("report.html")).unwrap();
+    assert_eq!(page.matches("<svg").count(), 5, "the views are plotted, too");
     // The smaller side of the cut knew that it was.
     let small = |e: &&Entry| matches!(e.seen, Seen::View { scheduler: 1 | 4, minority: true, .. });
     assert!(run.entries.iter().filter(small).count() >= 2);
