Members of a large cluster know that they are the smaller side by the words of all

Seen, by hand with 300 members in virtual time: of a zone of 100 cut off, 83 knew that they were the smaller side, and of 90 left of 300 not all; each hears only its own ten subjects, and one in six has mostly near ones. At fault: is_minority in roster.rs, which counted condemned members alone, and nobody is condemned by accusers that are unsure. Change: members that two or more accuse, sure or not, count as unheard there, unless those accusers are accused themselves. The relay resets connections and limits links, too; figures of what was sent by kind.

--- a/lab/examples/members.rs
+++ b/lab/examples/members.rs
@@ -94,6 +94,57 @@
     Ok(())
 }
 
+/// Seconds until this holds, within a bound.
+fn until(net: &mut Net, most: usize, holds: impl Fn(&Net) -> bool) -> String {
+    for second in 1..=most {
+        net.run(1_000.0);
+        if holds(net) {
+            return format!("{second} s");
+        }
+    }
+    format!("not in {most} s")
+}
+
+/// What 300 members make of events that befall most of them.
+fn mass(page: &mut String) -> Result<()> {
+    let whole = |net: &Net| net.agree() && (0..300).all(|n| !net.machine(n).is_minority());
+    let mut net = Net::new(300, 3, 13, Devices::default());
+    (0..30).for_each(|n| net.start(n));
+    net.run(20_000.0);
+    (30..300).for_each(|n| net.start(n));
+    writeln!(page, "\n## 300 members\n\n| what | comes about |\n| --- | --- |")?;
+    writeln!(
+        page,
+        "| 270 of 300 start in one millisecond | all agree after {} |",
+        until(&mut net, 60, whole)
+    )?;
+    net.run(60_000.0);
+    net.seen.clear();
+    (0..210).for_each(|n| net.kill(n));
+    net.run(60_000.0);
+    let know = (210..300).filter(|n| net.machine(*n).is_minority()).count();
+    let removed = gone_wrongly(&net, &[]);
+    writeln!(
+        page,
+        "| 210 killed at once | {know} of 90 know that they are the smaller side; removals {removed} |"
+    )?;
+    (0..210).for_each(|n| net.start(n));
+    writeln!(page, "| they start again | all agree after {} |", until(&mut net, 120, whole))?;
+    net.run(60_000.0);
+    net.seen.clear();
+    let (zone, rest): (Vec<usize>, Vec<usize>) = (0..300).partition(|n| n % 3 == 0);
+    net.cut_all(&zone, &rest);
+    net.cut_all(&rest, &zone);
+    net.run(60_000.0);
+    let know = zone.iter().filter(|n| net.machine(**n).is_minority()).count();
+    let agree = rest.iter().filter(|n| net.there(**n).into_iter().collect::<Vec<_>>() == rest).count();
+    let wrong = gone_wrongly(&net, &zone);
+    writeln!(page, "| a zone of 100 cut off both ways | {know} of 100 know it; {agree} of the other 200 believe in just those 200; the smaller side removes {wrong} |")?;
+    net.heal();
+    writeln!(page, "| the cut heals | all agree after {} |", until(&mut net, 200, whole))?;
+    Ok(())
+}
+
 fn main() -> Result<()> {
     let mut args = std::env::args().skip(1);
     let out = args.next().context("where to write the page")?;
@@ -208,6 +259,7 @@
         &[("bytes".into(), line)],
     )?;
     writeln!(page, "\n![Cost](cost.svg)")?;
+    mass(&mut page)?;
     std::fs::write(out.join("members.md"), &page)?;
     println!("{page}");
     Ok(())
--- a/lab/src/faults.rs
+++ b/lab/src/faults.rs
@@ -71,9 +71,21 @@
             tokio::time::sleep(lasts).await;
             relay.cut(&fault.who, &fault.to, false);
         }
+        Kind::Reset => {
+            let Some(relay) = &stage.relay else { return Ok(()) };
+            relay.reset(&fault.who, &fault.to, true);
+            tokio::time::sleep(lasts).await;
+            relay.reset(&fault.who, &fault.to, false);
+        }
+        Kind::Limit => {
+            let Some(relay) = &stage.relay else { return Ok(()) };
+            relay.weather(Weather { limit: fault.factor as u32, ..Weather::default() });
+            tokio::time::sleep(lasts).await;
+            relay.weather(Weather::default());
+        }
         Kind::Weather => {
             let Some(relay) = &stage.relay else { return Ok(()) };
-            relay.weather(Weather { loss: fault.factor, twice: 0.1, delay_ms: WEATHER_DELAY_MS });
+            relay.weather(Weather { loss: fault.factor, twice: 0.1, delay_ms: WEATHER_DELAY_MS, limit: 0 });
             tokio::time::sleep(lasts).await;
             relay.weather(Weather::default());
         }
--- a/lab/src/relay.rs
+++ b/lab/src/relay.rs
@@ -6,10 +6,11 @@
 use rand::Rng;
 use rand_chacha::rand_core::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use std::collections::BTreeSet;
+use socket2::SockRef;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
@@ -23,12 +24,19 @@
     pub twice: f64,
     /// The longest delay in milliseconds; each has one by chance, so that later ones come earlier.
     pub delay_ms: f64,
+    /// The most datagrams a second that one link carries; 0: no bound.
+    pub limit: u32,
 }
 
 /// What can be seen and set while all runs.
 struct Sky {
     weather: Weather,
     cut: BTreeSet<(usize, usize)>,
+    /// Connections on these are reset.
+    reset: BTreeSet<(usize, usize)>,
+    /// Of each link with a bound: the second, and datagrams in it.
+    carried: BTreeMap<(usize, usize), (u64, u32)>,
+    begun: Instant,
     rng: ChaCha8Rng,
 }
 
@@ -65,8 +73,14 @@
                 .push((listener, Arc::new(UdpSocket::bind(addr).await.with_context(|| format!("{addr}"))?)));
             known.push(addr);
         }
-        let sky =
-            Sky { weather: Weather::default(), cut: BTreeSet::new(), rng: ChaCha8Rng::seed_from_u64(seed) };
+        let sky = Sky {
+            weather: Weather::default(),
+            cut: BTreeSet::new(),
+            reset: BTreeSet::new(),
+            carried: BTreeMap::new(),
+            begun: Instant::now(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
         let relay = Arc::new(Relay { own, known, sky: Mutex::new(sky) });
         let datagrams: Vec<Arc<UdpSocket>> = sockets.iter().map(|(_, udp)| udp.clone()).collect();
         for (to, (listener, _)) in sockets.into_iter().enumerate() {
@@ -96,6 +110,14 @@
         }
     }
 
+    /// Has connections from some to others reset as soon as they come, or no more.
+    pub fn reset(&self, from: &[usize], to: &[usize], on: bool) {
+        let mut sky = self.sky();
+        for pair in from.iter().flat_map(|a| to.iter().map(move |b| (*a, *b))) {
+            let _ = if on { sky.reset.insert(pair) } else { sky.reset.remove(&pair) };
+        }
+    }
+
     fn is_cut(&self, from: usize, to: usize) -> bool {
         self.sky().cut.contains(&(from, to))
     }
@@ -103,7 +125,15 @@
     /// When copies of a datagram are to be handed on; none where it is lost.
     fn fate(&self, from: usize, to: usize) -> Vec<Duration> {
         let mut sky = self.sky();
-        let Weather { loss, twice, delay_ms } = sky.weather;
+        let Weather { loss, twice, delay_ms, limit } = sky.weather;
+        if limit > 0 {
+            let second = sky.begun.elapsed().as_secs();
+            let carried = sky.carried.entry((from, to)).or_default();
+            *carried = if carried.0 == second { (second, carried.1 + 1) } else { (second, 1) };
+            if carried.1 > limit {
+                return Vec::new();
+            }
+        }
         if sky.cut.contains(&(from, to)) || sky.rng.random::<f64>() < loss {
             return Vec::new();
         }
@@ -136,6 +166,10 @@
 
     /// A cut link is silent: the connection is up, and nothing comes.
     async fn connection(self: Arc<Relay>, from: usize, to: usize, stream: TcpStream) {
+        if self.sky().reset.contains(&(from, to)) {
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO)); // a reset in place of an end
+            return;
+        }
         let Ok(socket) = TcpSocket::new_v4() else { return };
         if socket.bind(SocketAddr::from((host(KNOWN, from), 0))).is_err() {
             return;
@@ -186,14 +220,22 @@
         let (mut there, source) = listener.accept().await.unwrap();
         let n = there.read(&mut bytes).await.unwrap();
         assert_eq!((&bytes[..n], source.ip()), (&b"state"[..], relay.known[0].ip()));
+        relay.reset(&[0], &[1], true);
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind(SocketAddr::from((relay.own[0].ip(), 0))).unwrap();
+        let mut here = socket.connect(relay.known[1]).await.unwrap();
+        assert!(here.read(&mut bytes).await.is_err(), "reset, not ended");
     }
 
     #[tokio::test]
     async fn weather_loses_and_doubles_by_its_seed() {
         let relay = Relay::start(2, 7).await.unwrap();
-        relay.weather(Weather { loss: 0.3, twice: 0.2, delay_ms: 5.0 });
+        relay.weather(Weather { loss: 0.3, twice: 0.2, delay_ms: 5.0, limit: 0 });
         let fates: Vec<usize> = (0..2_000).map(|_| relay.fate(0, 1).len()).collect();
         let part = |n: usize| fates.iter().filter(|f| **f == n).count() as f64 / 2_000.0;
+        relay.weather(Weather { limit: 3, ..Weather::default() });
+        let carried: usize = (0..100).map(|_| relay.fate(1, 0).len()).sum();
+        assert!((3..=6).contains(&carried), "three in each second that it took: {carried}");
         assert!((part(0) - 0.3).abs() < 0.04 && (part(2) - 0.14).abs() < 0.04, "{} {}", part(0), part(2));
     }
 }
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -224,6 +224,10 @@
     Pause,
     /// Links from schedulers to others are cut, one way.
     Cut,
+    /// Connections from schedulers to others are reset.
+    Reset,
+    /// Each link between schedulers carries so many datagrams a second (the factor) and loses the rest.
+    Limit,
     /// All links between schedulers lose this part (the factor) and delay by up to 300 ms, and double a tenth.
     Weather,
     /// A scheduler gets SIGTERM and is started again once it has ended.
@@ -296,7 +300,7 @@
         }
         for fault in &s.fault {
             let count = if fault.kind.concerns_workers() { s.fleet.workers } else { s.schedulers };
-            let links = matches!(fault.kind, Kind::Cut | Kind::Weather);
+            let links = matches!(fault.kind, Kind::Cut | Kind::Reset | Kind::Limit | Kind::Weather);
             if links && s.members.is_none() {
                 bail!("a {:?} at {} s needs [members]", fault.kind, fault.at_s);
             }
--- a/members/src/figures.rs
+++ b/members/src/figures.rs
@@ -1,5 +1,8 @@
 //! What a member counts.
 
+/// The kinds of what is sent, in order.
+pub const KINDS: [&str; 8] = ["ping", "ack", "ask", "proof", "record", "accusation", "claim", "held"];
+
 /// Counters since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Figures {
@@ -17,6 +20,8 @@
     pub removed: u64,
     /// Processes that were gone by its view and then said that they never ended.
     pub false_removals: u64,
+    /// What was in the datagrams sent, by kind, as in [`KINDS`].
+    pub parts: [u64; 8],
     /// Datagrams sent.
     pub datagrams: u64,
     /// And taken.
--- a/members/src/lib.rs
+++ b/members/src/lib.rs
@@ -23,7 +23,7 @@
 mod roster;
 mod wire;
 
-pub use figures::Figures;
+pub use figures::{Figures, KINDS};
 pub use member::{Action, Members, View, Viewed};
 pub use record::{Id, Instance, Record, Standing};
 pub use roster::{Accusation, Change, Devices, Roster};
--- a/members/src/member.rs
+++ b/members/src/member.rs
@@ -634,6 +634,7 @@
         }
         let most = (SPREAD * (self.roster.len() as f64 + 1.0).log2()).ceil() as u32;
         self.gossip.fill(&mut w, most);
+        self.figures.parts.iter_mut().zip(w.parts).for_each(|(sum, n)| *sum += n);
         let bytes = w.finish();
         self.figures.datagrams += 1;
         self.figures.bytes += bytes.len() as u64;
--- a/members/src/roster.rs
+++ b/members/src/roster.rs
@@ -218,10 +218,19 @@
         2 * votes > voters.len() && votes >= least
     }
 
-    /// Whether those that are not condemned are no majority of the members of the last minute.
+    /// Whether several accuse a member, sure or not, that are not doubtful themselves. Of many, each hears only its own
+    /// subjects: it takes the words of all to see how many cannot be heard.
+    fn is_unheard(&self, subject: &Id) -> bool {
+        let counts = |accuser: &Id| self.sure_against(*accuser).count() < DOUBTFUL;
+        self.against(*subject).map(|a| a.accuser).filter(counts).count() >= DOUBTFUL
+    }
+
+    /// Whether those that are neither condemned nor unheard are no majority of the members of the last minute.
     pub fn is_minority(&self) -> bool {
-        let (here, condemned) = (self.rings.len(), self.condemned.len());
-        2 * (here - condemned.min(here)) <= here + self.lost.len()
+        let unheard =
+            self.accusations.keys().filter(|id| self.condemned.contains_key(id) || self.is_unheard(id));
+        let (here, unheard) = (self.rings.len(), unheard.count());
+        2 * (here - unheard.min(here)) <= here + self.lost.len()
     }
 
     /// Brings the verdicts up to now; gives the members that are gone from now on, with the records that say so. The smaller
--- a/members/src/wire.rs
+++ b/members/src/wire.rs
@@ -56,6 +56,8 @@
 pub struct Writer {
     bytes: Vec<u8>,
     most: usize,
+    /// Parts by kind.
+    pub parts: [u64; 8],
 }
 
 impl Writer {
@@ -64,7 +66,7 @@
         let mut bytes = vec![b'P', b'M', VERSION, cluster.len().min(255) as u8];
         bytes.extend(cluster.bytes().take(255));
         bytes.extend(from.0.to_be_bytes());
-        Writer { bytes, most }
+        Writer { bytes, most, parts: [0; 8] }
     }
 
     /// Adds a part, if there is room for it.
@@ -76,6 +78,7 @@
             self.bytes.push(part.kind());
             self.bytes.extend((content.len() as u16).to_be_bytes());
             self.bytes.extend(content);
+            self.parts[usize::from(part.kind()) - 1] += 1;
         }
         fits
     }
--- a/node/src/members.rs
+++ b/node/src/members.rs
@@ -2,8 +2,8 @@
 
 use crate::clock::Millis;
 use crate::http::Outbox;
-use postusher_members::{Figures, View, MOST_WHOLE};
-use serde::Serialize;
+use postusher_members::{Figures, View, KINDS, MOST_WHOLE};
+use serde::{Serialize, Serializer};
 use std::net::SocketAddr;
 
 /// An exchange of whole states takes no longer.
@@ -102,6 +102,8 @@
     refuted: u64,
     removed: u64,
     false_removals: u64,
+    #[serde(serialize_with = "by_kind")]
+    sent: [u64; 8],
     datagrams_sent: u64,
     datagrams_taken: u64,
     bytes_sent: u64,
@@ -110,6 +112,10 @@
     woken_late_ms: u64,
 }
 
+fn by_kind<S: Serializer>(parts: &[u64; 8], to: S) -> Result<S::Ok, S::Error> {
+    to.collect_map(KINDS.iter().zip(parts))
+}
+
 impl MembersGauges {
     /// Of what a member believes and has counted.
     pub fn new(view: &View, f: Figures) -> MembersGauges {
@@ -125,6 +131,7 @@
             refuted: f.refuted,
             removed: f.removed,
             false_removals: f.false_removals,
+            sent: f.parts,
             datagrams_sent: f.datagrams,
             datagrams_taken: f.taken,
             bytes_sent: f.bytes,
@@ -164,6 +171,7 @@
             "state": "alive"});
         assert_eq!(shown, serde_json::json!({"name": "a1", "view": 1, "minority": false, "members": [me]}));
         let gauges = serde_json::to_value(MembersGauges::new(&a.view(), a.figures())).unwrap();
+        assert_eq!(gauges["sent"]["accusation"], serde_json::json!(0));
         assert_eq!((&gauges["alive"], &gauges["probes"]), (&serde_json::json!(1), &serde_json::json!(0)));
     }
 }
