--- a/members/src/member.rs
+++ b/members/src/member.rs
@@ -282,7 +282,7 @@
 
     /// It is a member from now on, under a higher incarnation than any known of its name.
     fn enter(&mut self, known: u64) {
-        self.incarnation = self.incarnation.max(known) + 1;
+        self.incarnation = self.incarnation.max(known).saturating_add(1);
         self.instance.born = if self.instance.born == 0 { self.incarnation } else { self.instance.born };
         self.phase = Phase::In;
         (self.exchange_at, self.exchange_every) = (self.now + self.config.times.probe, 1.0);
@@ -494,7 +494,7 @@
         }
         self.figures.refuted += 1;
         if self.config.devices.raise {
-            self.incarnation = self.incarnation.max(incarnation) + 1;
+            self.incarnation = self.incarnation.max(incarnation).saturating_add(1);
         }
         self.tell_of_me(Standing::Alive);
     }
--- a/members/src/roster.rs
+++ b/members/src/roster.rs
@@ -8,6 +8,9 @@
 
 /// An accusation that is not repeated for so many probe intervals is void: its accuser may be gone.
 const LAPSE: f64 = 10.0;
+/// Guards against: records of made-up names that fill the memory. Names as long as a setup allows them.
+const MOST_MEMBERS: usize = 10_000;
+const LONGEST_NAME: usize = 128;
 /// An observer that so many others accuse says nothing on others.
 const DOUBTFUL: usize = 2;
 /// Over so many probe intervals members that went are counted with those that are left, to know which side is larger.
@@ -147,7 +150,9 @@
     pub fn take(&mut self, record: Record, now: Millis) -> Change {
         let id = record.id();
         let old = self.entries.get(&id).map(|e| &e.record);
-        if old.is_some_and(|old| !record.supersedes(old)) {
+        let fits = record.name.len().max(record.zone.len()) <= LONGEST_NAME;
+        let room = old.is_some() || self.entries.len() < MOST_MEMBERS;
+        if !fits || !room || old.is_some_and(|old| !record.supersedes(old)) {
             return Change::Nothing;
         }
         let was = old.map(|old| (old.standing, old.instance));
@@ -182,7 +187,7 @@
     /// Takes in what an observer says; whether it is news.
     pub fn accuse(&mut self, a: Accusation, now: Millis) -> bool {
         let here = |r: &&Record| r.standing == Standing::Alive && r.incarnation == a.incarnation;
-        if self.get(a.subject).filter(here).is_none() {
+        if self.get(a.subject).filter(here).is_none() || self.get(a.accuser).is_none() {
             return false;
         }
         let of = self.accusations.entry(a.subject).or_default();
@@ -276,3 +281,28 @@
         self.condemned.values_mut().for_each(later);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::record::Instance;
+
+    fn record(name: String, incarnation: u64) -> Record {
+        let (addr, instance) = ("127.0.0.1:1".parse().unwrap(), Instance { born: 1, number: 1 });
+        Record { name, zone: "z".into(), addr, instance, incarnation, standing: Standing::Alive }
+    }
+
+    #[test]
+    fn what_strangers_make_up_takes_no_memory() {
+        let mut roster = Roster::new(Times::default(), Devices::default());
+        for n in 0..MOST_MEMBERS {
+            roster.take(record(format!("m{n}"), 1), 0.0);
+        }
+        assert_eq!(roster.take(record("one-more".into(), 1), 0.0), Change::Nothing);
+        assert_eq!(roster.take(record("m7".into(), 2), 0.0), Change::Renewed, "who is known can be told of");
+        assert_eq!(roster.take(record("x".repeat(LONGEST_NAME + 1), 1), 0.0), Change::Nothing);
+        let (subject, accuser) = (Id::of("m7"), Id(77));
+        let made_up = Accusation { accuser, subject, incarnation: 2, seq: 1, stands: true, sure: true };
+        assert!(!roster.accuse(made_up, 0.0), "nobody is called so");
+    }
+}
--- a/node/src/members.rs
+++ b/node/src/members.rs
@@ -76,13 +76,12 @@
 
 /// What a member believes of all, as JSON.
 pub fn json(view: &View) -> String {
-    let member = |m: &'_ postusher_members::Viewed| m.state();
     let members = view.members.iter().map(|m| ShownMember {
         name: &m.record.name,
         zone: &m.record.zone,
         addr: m.record.addr,
         incarnation: m.record.incarnation,
-        state: member(m),
+        state: m.state(),
     });
     let (name, minority, number) = (view.name.as_str(), view.minority, view.view);
     let shown = Shown { name, view: number, minority, members: members.collect() };
