--- a/src/rules.rs
+++ b/src/rules.rs
@@ -368,7 +368,7 @@
         (account.left / owed).min(0.0)
     }
 
-    /// Where no job would start at once: the most slots to wait for that it can afford; below 0, so many have to
+    /// Where no job would start at once: the most slots to wait for that it can afford; below 0, so many must
     /// be left free. Shares fit into the fleet, so what siblings send unseen yields to who is in its share.
     fn affords(&self, r: &Request, standing: f64) -> i64 {
         // Starts tell of queues only in the mean; where nothing does, a few siblings add as much unseen.
