--- a/lab/examples/members.rs
+++ b/lab/examples/members.rs
@@ -89,7 +89,9 @@
             .label(label.as_str())
             .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], style));
     }
-    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+    let mut labels = chart.configure_series_labels();
+    labels.position(SeriesLabelPosition::UpperMiddle).background_style(WHITE.mix(0.8)).border_style(BLACK);
+    labels.draw()?;
     area.present()?;
     Ok(())
 }
