A debugging function and a setting nobody acts on taken out; members' settings said once

Seen: room_of in state.rs, left from a probe, public and able to panic; OverShareWorth read and never used; the setup's members wrote postusher_members::Config again field by field; a whole state was parsed twice on joining; forgetting took members off rings that they had left; missed counted pings that others were asked for. Change: those, and one call for a cut both ways in the modelled network. Decisions and assertions stay.

--- a/lab/examples/members.rs
+++ b/lab/examples/members.rs
@@ -135,8 +135,7 @@
     net.run(60_000.0);
     net.seen.clear();
     let (zone, rest): (Vec<usize>, Vec<usize>) = (0..300).partition(|n| n % 3 == 0);
-    net.cut_all(&zone, &rest);
-    net.cut_all(&rest, &zone);
+    net.cut_apart(&zone, &rest);
     net.run(60_000.0);
     let know = zone.iter().filter(|n| net.machine(**n).is_minority()).count();
     let agree = rest.iter().filter(|n| net.there(**n).into_iter().collect::<Vec<_>>() == rest).count();
--- a/lab/src/virtual_net.rs
+++ b/lab/src/virtual_net.rs
@@ -169,6 +169,12 @@
         from.iter().for_each(|a| to.iter().filter(|b| *b != a).for_each(|b| self.cut(*a, *b)));
     }
 
+    /// Cuts all ways between some and others.
+    pub fn cut_apart(&mut self, some: &[usize], others: &[usize]) {
+        self.cut_all(some, others);
+        self.cut_all(others, some);
+    }
+
     /// All links work again.
     pub fn heal(&mut self) {
         self.cut.clear();
--- a/lab/tests/members.rs
+++ b/lab/tests/members.rs
@@ -173,8 +173,7 @@
 #[test]
 fn a_member_cut_off_from_one_zone_only_stays() {
     let mut net = Net::settled(9, 3, 9, Devices::default());
-    net.cut_all(&[0], &[1, 4, 7]);
-    net.cut_all(&[1, 4, 7], &[0]);
+    net.cut_apart(&[0], &[1, 4, 7]);
     net.run(120_000.0);
     assert_eq!(net.seen, vec![]);
 }
@@ -209,8 +208,7 @@
 fn of_two_halves_neither_removes_the_other_and_they_come_together_after_an_hour() {
     let mut net = Net::settled(8, 2, 11, Devices::default());
     let (a, b) = ([0, 2, 4, 6], [1, 3, 5, 7]);
-    net.cut_all(&a, &b);
-    net.cut_all(&b, &a);
+    net.cut_apart(&a, &b);
     net.run(3_600_000.0);
     assert_eq!(net.seen, vec![]);
     assert!((0..8).all(|n| net.machine(n).is_minority()));
@@ -223,8 +221,7 @@
 fn a_split_in_which_one_side_went_on_heals_after_an_hour() {
     let mut net = Net::settled(9, 3, 12, Devices::default());
     let (zone, rest) = ([0, 3, 6], [1, 2, 4, 5, 7, 8]);
-    net.cut_all(&zone, &rest);
-    net.cut_all(&rest, &zone);
+    net.cut_apart(&zone, &rest);
     net.run(3_600_000.0);
     net.heal();
     net.run(90_000.0);
@@ -287,8 +284,7 @@
     let mut net = Net::new(7, 3, 17, Devices::default());
     (0..6).for_each(|n| net.start(n));
     net.run(20_000.0);
-    net.cut_all(&[0], &[1, 2, 3, 4, 5, 6]);
-    net.cut_all(&[1, 2, 3, 4, 5, 6], &[0]);
+    net.cut_apart(&[0], &[1, 2, 3, 4, 5, 6]);
     net.run(20_000.0);
     net.start_as(6, Some(0));
     net.run(20_000.0);
@@ -399,8 +395,7 @@
 
     let mut net = Net::settled(9, 3, 25, Devices { majority: false, ..Devices::default() });
     let (zone, rest) = ([0, 3, 6], [1, 2, 4, 5, 7, 8]);
-    net.cut_all(&zone, &rest);
-    net.cut_all(&rest, &zone);
+    net.cut_apart(&zone, &rest);
     net.run(60_000.0);
     assert!(!wrong(&net, &zone).is_empty(), "the smaller side removes the larger");
 }
--- a/members/src/member.rs
+++ b/members/src/member.rs
@@ -129,15 +129,15 @@
     roster: Roster,
     rng: u64,
     now: Millis,
-    /// When it is to be woken; infinite before the first time.
+    /// When it is to be woken.
     due: Millis,
     /// Of the subjects of this view of the roster.
     watches: BTreeMap<Id, Watch>,
     watched_at: Option<u64>,
     /// The others that are there, in an order by chance.
     there: Vec<Id>,
-    /// Pings whose answers may come: whom they went to, and when.
-    asked: BTreeMap<u64, (Id, Millis)>,
+    /// Pings whose answers may come: whom they went to, when, and whether by itself.
+    asked: BTreeMap<u64, (Id, Millis, bool)>,
     relayed: BTreeMap<u64, Relayed>,
     gossip: Gossip,
     /// Of its subjects none is heard; or so few that it, with those, may be the smaller side of a cut.
@@ -307,9 +307,8 @@
         let (now, times) = (self.now, self.config.times);
         self.follow_subjects();
         let old = now - 2.0 * times.suspicion;
-        while self.asked.first_entry().is_some_and(|e| e.get().1 < old) {
-            self.asked.pop_first();
-            self.figures.missed += 1;
+        while let Some(first) = self.asked.first_entry().filter(|e| e.get().1 < old) {
+            self.figures.missed += u64::from(first.remove().2);
         }
         self.relayed.retain(|_, r| r.at >= old);
         let unheard = self.watches.values().filter(|w| now - w.proof > UNHEARD * times.suspicion).count();
@@ -359,7 +358,7 @@
     fn ping(&mut self, id: Id, out: &mut Vec<Action>) {
         let Some(addr) = self.roster.get(id).map(|r| r.addr) else { return };
         let nonce = self.nonce();
-        self.asked.insert(nonce, (id, self.now));
+        self.asked.insert(nonce, (id, self.now, true));
         self.figures.probes += 1;
         // Who is accused hears of it first.
         let about: Vec<Part> = self.roster.against(id).take(RELAYS).map(Part::Accusation).collect();
@@ -383,7 +382,7 @@
         let relays: Vec<SocketAddr> = new.into_iter().chain(rest).take(RELAYS).map(|r| r.addr).collect();
         for relay in relays {
             let nonce = self.nonce();
-            self.asked.insert(nonce, (subject, self.now));
+            self.asked.insert(nonce, (subject, self.now, false));
             self.figures.indirect += 1;
             self.send(relay, [Part::Ask { nonce, subject, addr }], out);
         }
@@ -405,7 +404,7 @@
 
     /// A member is proved to have lived at a time.
     fn proved(&mut self, nonce: u64, out: &mut Vec<Action>) {
-        let Some((id, at)) = self.asked.remove(&nonce) else { return };
+        let Some((id, at, _)) = self.asked.remove(&nonce) else { return };
         let Some(w) = self.watches.get_mut(&id) else { return };
         w.proof = w.proof.max(at);
         let proved = self.now - w.proof <= self.config.times.suspicion;
@@ -562,37 +561,25 @@
             }
         }
         if matches!(self.phase, Phase::Joining(_)) {
+            let known = mine.as_ref().map_or(0, |r| r.incarnation);
             match mine.filter(|r| r.standing == Standing::Alive && r.addr != self.config.addr) {
                 Some(holder) => {
                     self.claim(&holder, out);
                     let until = self.now + CLAIM * self.config.times.probe;
                     self.phase = Phase::Claiming(until, holder);
                 }
-                None => {
-                    let known = self.known_of_me(bytes);
-                    self.enter(known);
-                }
+                None => self.enter(known),
             }
         }
     }
 
-    /// The highest incarnation of its name in a state.
-    fn known_of_me(&self, bytes: &[u8]) -> u64 {
-        let parts = wire::read(bytes, &self.config.cluster).map_or(Vec::new(), |(_, parts)| parts);
-        let mine = parts.iter().filter_map(|part| match part {
-            Part::Record(r) if r.id() == self.me => Some(r.incarnation),
-            _ => None,
-        });
-        mine.max().unwrap_or(0)
-    }
-
     /// Now and then with a member by chance, and with a seed or one that is gone: a split heals by it.
     fn exchange(&mut self, out: &mut Vec<Action>) {
         if self.now < self.exchange_at {
             return;
         }
         self.roster.forget(self.now);
-        let every = self.exchange_every.min(EXCHANGE);
+        let every = self.exchange_every;
         self.exchange_at = self.now + every * self.config.times.probe * (0.75 + 0.5 * self.chance());
         self.exchange_every = (2.0 * every).min(EXCHANGE);
         let here: BTreeSet<SocketAddr> = self.others(Standing::Alive).collect();
--- a/members/src/roster.rs
+++ b/members/src/roster.rs
@@ -264,14 +264,8 @@
 
     /// Forgets those that went so long ago that nobody will ask.
     pub fn forget(&mut self, now: Millis) {
-        let (old, rings) = (self.times.forget, &mut self.rings);
-        self.entries.retain(|id, e| {
-            let stays = e.record.standing == Standing::Alive || now - e.since < old;
-            if !stays {
-                rings.remove(*id);
-            }
-            stays
-        });
+        let old = self.times.forget;
+        self.entries.retain(|_, e| e.record.standing == Standing::Alive || now - e.since < old);
     }
 
     /// Takes a time in which nobody was listened to out of all times.
--- a/node/src/event_loop/members.rs
+++ b/node/src/event_loop/members.rs
@@ -46,7 +46,7 @@
         let now = clock.now();
         let chance = seed ^ u64::from(std::process::id()) << 32 ^ now.to_bits();
         Membership {
-            machine: Members::new(setup.config(), chance, now),
+            machine: Members::new(setup.config.clone(), chance, now),
             setup: setup.clone(),
             bound: None,
             try_at: now,
@@ -69,7 +69,7 @@
         };
         registry.register(&mut bound.datagrams, DATAGRAMS, Interest::READABLE)?;
         registry.register(&mut bound.listener, EXCHANGES, Interest::READABLE)?;
-        log::info!("{}: members at {}", self.setup.name, self.setup.listen);
+        log::info!("{}: members at {}", self.setup.config.name, self.setup.listen);
         self.bound = Some(bound);
         Ok(())
     }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -105,7 +105,8 @@
             let Setup { waiting, pools, members, .. } = postusher_setup::load(&setup)?;
             let jobs = waiting.map_or("nothing waits".to_string(), |w| format!("up to {} jobs wait", w.jobs));
             let workers: usize = pools.iter().map(|p| p.workers.len()).sum();
-            let member = members.map_or(String::new(), |m| format!(", member {} of {}", m.name, m.cluster));
+            let member = members
+                .map_or(String::new(), |m| format!(", member {} of {}", m.config.name, m.config.cluster));
             let (path, pools) = (setup.display(), pools.len());
             println!("{path}: good; {jobs}, {pools} pools with {workers} workers{member}");
         }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -12,8 +12,6 @@
     discovery: String,
     #[serde(default)]
     objective_mix: ObjectiveMix,
-    #[serde(default = "one")]
-    over_share_worth: f64,
     #[serde(default)]
     models: Vec<String>,
     #[serde(default)]
@@ -244,7 +242,6 @@
     let settings = Settings {
         classes: classes.collect::<Result<_, _>>().map_err(|e| format!("settings: {e}"))?,
         customers: p.realms.iter().map(customer).collect::<Result<_, _>>()?,
-        over_share_worth: p.over_share_worth,
         worth_by_work: p.worth_by == "work",
         siblings: p.siblings,
         must_ask: p.discovery == "ask",
--- a/setup/tests/samples.rs
+++ b/setup/tests/samples.rs
@@ -81,8 +81,8 @@
 fn members_are_read_whole_and_a_suspicion_that_is_too_short_says_how_long_it_must_be() {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("samples/good/members.xml");
     let members = load(&path).unwrap().members.unwrap();
-    assert_eq!((members.name.as_str(), members.zone.as_str(), members.seeds.len()), ("a1", "lamia", 2));
-    let config = members.config();
+    let config = members.config;
+    assert_eq!((config.name.as_str(), config.zone.as_str(), config.seeds.len()), ("a1", "lamia", 2));
     assert_eq!((config.addr.to_string().as_str(), config.cluster.as_str()), ("127.0.0.21:7946", "athens"));
     assert_eq!((config.times.probe, config.times.suspicion, config.times.removal), (500.0, 3_000.0, 0.0));
     let short = r#"<postusher><members name="a" zone="z" listen="127.0.0.1:1" suspicion="3s"/></postusher>"#;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -88,8 +88,6 @@
     pub classes: Vec<Class>,
     /// The customers, by number; none where all are alike.
     pub customers: Vec<Customer>,
-    /// The part of its worth that a job above its customer's share has.
-    pub over_share_worth: f64,
     /// `credit` counts per unit of work instead of per job.
     pub worth_by_work: bool,
     /// How many dispatchers feed the same workers, this one included.
@@ -373,7 +371,6 @@
         Settings {
             classes: Vec::new(),
             customers: Vec::new(),
-            over_share_worth: 1.0,
             worth_by_work: false,
             siblings: 1,
             must_ask: false,
--- a/src/state.rs
+++ b/src/state.rs
@@ -879,16 +879,6 @@
         })
     }
 
-    pub fn room_of(&self, w: WorkerId) -> (i64, i64, i64, Option<i64>, i64) {
-        let w = &self.workers[&w];
-        (
-            self.room(w),
-            w.held,
-            (w.others * 100.0) as i64,
-            w.usual.0.map(|u| (u * 100.0) as i64),
-            ((self.now - w.reported) / 1000) as i64,
-        )
-    }
     /// Jobs of each customer that were sent on room lent to it; jobs of customers that the settings don't have are not
     /// counted.
     pub fn lent(&self) -> impl Iterator<Item = u64> + '_ {
