Exchanges of members counted where all connections are, and no state written for nobody

Cause: exchanges were counted by hand before a connection was kept, so that one which could not be polled counted for ever; and whoever had asked wrote its whole state once more when the answer came, and counted it as an exchange. Change: counted in add and close of event_loop/sockets.rs as listeners and forwards are; a state only for who is owed one.

--- a/node/src/event_loop/members.rs
+++ b/node/src/event_loop/members.rs
@@ -27,7 +27,7 @@
     bound: Option<Bound>,
     try_at: Millis,
     /// Exchanges under way.
-    exchanges: usize,
+    pub(super) exchanges: usize,
     /// Datagrams may be left from the turn before.
     more: bool,
     buffer: Vec<u8>,
@@ -199,7 +199,6 @@
         }
         let mut new = Exchange::new(true);
         new.give(&m.machine.whole());
-        m.exchanges += 1;
         self.add(TcpStream::from_std(raw.into()), Role::Exchange(new), true, until)?;
         Ok(())
     }
@@ -210,10 +209,9 @@
         while let Some(bound) = self.members.as_ref().and_then(|m| m.bound.as_ref()) {
             match bound.listener.accept() {
                 Ok((stream, _)) => {
-                    let Some(m) = self.members.as_mut().filter(|m| m.exchanges < MOST_EXCHANGES) else {
+                    if self.members.as_ref().is_none_or(|m| m.exchanges >= MOST_EXCHANGES) {
                         continue; // dropped: the other tries again
-                    };
-                    m.exchanges += 1;
+                    }
                     match self.add(stream, Role::Exchange(Exchange::new(false)), false, until) {
                         Ok(key) => self.drive(key),
                         Err(e) => log::warn!("members: a connection cannot be polled: {e}"),
@@ -237,17 +235,11 @@
         let Some(m) = &mut self.members else { return self.close(key) };
         let mut out = Vec::new();
         m.machine.take_whole(&whole, now, &mut out);
-        let mine = m.machine.whole();
-        if asked {
-            self.close(key);
-        } else if let Some(Socket { role: Role::Exchange(c), .. }) = self.socket(key) {
-            c.give(&mine);
+        let mine = (!asked).then(|| m.machine.whole());
+        match (mine, self.socket(key)) {
+            (Some(mine), Some(Socket { role: Role::Exchange(c), .. })) => c.give(&mine),
+            _ => self.close(key),
         }
         self.carry_out(out);
     }
-
-    /// An exchange is over.
-    pub(super) fn exchange_closed(&mut self) {
-        self.members.iter_mut().for_each(|m| m.exchanges = m.exchanges.saturating_sub(1));
-    }
 }
--- a/node/src/event_loop/sockets.rs
+++ b/node/src/event_loop/sockets.rs
@@ -48,7 +48,8 @@
             Role::Listener(..) => self.listeners += 1,
             Role::Forward(_) => self.forwards += 1,
             Role::Manager(_) => self.managers += 1,
-            Role::Discovery(_) | Role::Exchange(_) => {}
+            Role::Exchange(_) => self.members.iter_mut().for_each(|m| m.exchanges += 1),
+            Role::Discovery(_) => {}
         }
         entry.insert(Socket { stream, key, role, connecting, deadline });
         self.set_deadline(key, deadline);
@@ -85,7 +86,9 @@
                 self.pool.remove(c.target, key);
             }
             Role::Discovery(_) if self.watch == Some(key) => self.watch = None,
-            Role::Exchange(_) => self.exchange_closed(),
+            Role::Exchange(_) => {
+                self.members.iter_mut().for_each(|m| m.exchanges = m.exchanges.saturating_sub(1))
+            }
             _ => {}
         }
     }
