--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -305,7 +305,7 @@
 
     /// Jobs of each customer that were sent over its share.
     pub fn over_share(&self) -> Vec<u64> {
-        self.module.lent().collect()
+        self.module.over_share().collect()
     }
 
     /// What the module has learned.
--- a/node/tests/serve/main.rs
+++ b/node/tests/serve/main.rs
@@ -64,13 +64,19 @@
     }
 
     fn upgradable_with(name: &str, host: u8, setup: Option<PathBuf>) -> Scheduler {
+        Scheduler::upgradable_where(name, host, setup, "")
+    }
+
+    /// The same where the settings say this, too.
+    fn upgradable_where(name: &str, host: u8, setup: Option<PathBuf>, also: &str) -> Scheduler {
         let (target, discovery) =
             (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
         let config = config(name, discovery.local_addr().unwrap(), target.local_addr().unwrap(), 1);
         let free =
             TcpListener::bind(SocketAddr::from(([127, 77, 0, host], 0))).unwrap().local_addr().unwrap();
         let text = std::fs::read_to_string(&config).unwrap();
-        std::fs::write(&config, text.replacen("127.0.0.1:0", &free.to_string(), 1)).unwrap();
+        let text = text.replacen("127.0.0.1:0", &free.to_string(), 1);
+        std::fs::write(&config, text.replace("\"Services\"", &format!("{also}\"Services\""))).unwrap();
         Scheduler::launch(config, setup, target, discovery)
     }
 
--- a/node/tests/serve/waiting.rs
+++ b/node/tests/serve/waiting.rs
@@ -209,6 +209,42 @@
     shows(&new, r#""held":0,"released":3"#);
 }
 
+/// Guards against: a job that counts for nobody, or for somebody else, once it has been held or handed over.
+#[test]
+fn a_held_job_stays_its_customers_through_the_wait_and_through_an_upgrade() {
+    let realms = r#""Realms": [{"Name": "acme", "QuotaPerS": 9}, {"Name": "zeta", "QuotaPerS": 9}], "#;
+    let setup = setup("held-customer", "<postusher><waiting/></postusher>");
+    let mut old = Scheduler::upgradable_where("held-customer", 41, Some(setup), realms);
+    let counts = |name: &str, served: u32| {
+        format!(r#""{name}":{{"over_share":0,"served":{served},"refused":0,"failed":0}}"#)
+    };
+    let mut first = client(&old, "t1", "X-Customer: acme\r\n");
+    let mut target = None;
+    assert_eq!(taken(&old, &mut target).0, "t1");
+    let mut here = client(&old, "t2", "X-Customer: zeta\r\nX-Start-After: t1\r\n");
+    shows(&old, r#""held":1"#);
+    done(&old, "t1");
+    assert_eq!((status(&mut first), taken(&old, &mut target).0.as_str()), ("200".into(), "t2"));
+    done(&old, "t2");
+    assert_eq!(status(&mut here), "200");
+    shows(&old, &counts("acme", 1));
+    shows(&old, &counts("zeta", 1));
+    let mut runs = client(&old, "t4", "X-Customer: acme\r\n");
+    assert_eq!(taken(&old, &mut target).0, "t4");
+    let mut later = client(&old, "t3", "X-Customer: zeta\r\nX-Start-After: t4\r\n");
+    shows(&old, r#""held":1"#);
+    let (new, _watches) = old.upgraded();
+    old.signal("-TERM");
+    assert!(old.process.wait().unwrap().success());
+    // What ran there and what was held there count here, each for its customer.
+    done(&new, "t4");
+    assert_eq!((status(&mut runs), taken(&new, &mut None).0.as_str()), ("200".into(), "t3"));
+    done(&new, "t3");
+    assert_eq!(status(&mut later), "200");
+    shows(&new, &counts("acme", 1));
+    shows(&new, &counts("zeta", 1));
+}
+
 #[test]
 fn sighup_takes_over_other_bounds_and_a_bad_setup_changes_nothing() {
     let mut s = waiting("sighup", r#"most-jobs="1""#);
--- a/src/state.rs
+++ b/src/state.rs
@@ -234,8 +234,8 @@
     pub left: f64,
     /// Jobs that it brought lately; each counts for less as time goes on.
     asked: f64,
-    /// Jobs that were sent on room lent to it, since the start.
-    pub lent: u64,
+    /// Jobs sent over its share since the start: debts that were forgiven. What is owed still may be earned yet.
+    pub over: f64,
     /// As of when.
     at: Micros,
     /// When `left` was last brought up; 0: never, with all saved up that can be.
@@ -246,7 +246,6 @@
     /// Takes off a job that is sent.
     pub fn spend(&mut self) {
         self.left -= 1.0;
-        self.lent += u64::from(self.left < 0.0);
     }
 
     /// Counts a job that the customer brings.
@@ -265,7 +264,9 @@
     pub fn earn(&mut self, rate: f64, now: Micros, least: f64, most: f64) {
         let earned =
             if self.earned == 0 { most } else { rate * now.saturating_sub(self.earned) as f64 / 1e6 };
-        (self.left, self.earned) = ((self.left + earned).clamp(least, most), now.max(1));
+        let left = self.left + earned;
+        self.over += (least - left).max(0.0);
+        (self.left, self.earned) = (left.clamp(least, most), now.max(1));
     }
 }
 
@@ -879,10 +880,10 @@
         })
     }
 
-    /// Jobs of each customer that were sent on room lent to it; jobs of customers that the settings don't have are not
-    /// counted.
-    pub fn lent(&self) -> impl Iterator<Item = u64> + '_ {
-        self.accounts.iter().map(|account| account.lent)
+    /// Jobs of each customer sent over its share for good, beyond what it owes still; jobs of customers that the
+    /// settings don't have are not counted.
+    pub fn over_share(&self) -> impl Iterator<Item = u64> + '_ {
+        self.accounts.iter().map(|account| account.over as u64)
     }
 
     /// How many workers are kept in mind.
--- a/tests/customers.rs
+++ b/tests/customers.rs
@@ -34,7 +34,8 @@
     owner: BTreeMap<u32, u16>,
     /// The number of each job's latest attempt.
     legs: BTreeMap<u32, u8>,
-    /// Asked, served within two running times, and turned away, by customer.
+    /// Jobs sent, asked for, and served within two running times, by customer.
+    sent: BTreeMap<u16, u32>,
     asked: BTreeMap<u16, u32>,
     served: BTreeMap<u16, u32>,
 }
@@ -63,6 +64,7 @@
             count: 0,
             owner: BTreeMap::new(),
             legs: BTreeMap::new(),
+            sent: BTreeMap::new(),
             asked: BTreeMap::new(),
             served: BTreeMap::new(),
         };
@@ -99,6 +101,7 @@
 
     fn send(&mut self, d: usize, job: JobId, worker: u32) {
         let leg = self.legs.entry(job.0).and_modify(|leg| *leg += 1).or_default();
+        *self.sent.entry(self.owner[&job.0]).or_default() += u32::from(*leg == 0);
         let (leg, busy) = (*leg, &mut self.busy[worker as usize]);
         if busy.len() >= SLOTS + 2 {
             let o = Outcome { job, leg, ending: Ending::Full, latency: MS, done: false, report: Vec::new() };
@@ -171,6 +174,17 @@
         self.until(end + 4 * RUN);
     }
 
+    /// Jobs of a customer that all dispatchers together have sent as within its share.
+    fn granted(&self, customer: u16) -> f64 {
+        let n = usize::from(customer);
+        let lent = |d: &Dispatcher| {
+            let owed = d.memory().accounts.get(n).map_or(0.0, |left| -left.min(0.0));
+            d.over_share().nth(n).unwrap_or(0) as f64 + owed
+        };
+        let lent = self.dispatchers.iter().map(lent).sum::<f64>();
+        f64::from(self.sent.get(&customer).copied().unwrap_or(0)) - lent
+    }
+
     fn part(&self, customer: u16) -> f64 {
         let served = self.served.get(&customer).copied().unwrap_or(0);
         f64::from(served) / f64::from(self.asked.get(&customer).copied().unwrap_or(0).max(1))
@@ -239,6 +253,47 @@
     }
 }
 
+/// What dispatchers grant a flood as within its share, all together, in times of its quota. They share nothing and
+/// traffic is not spread alike, so it may be more than one; `1 + use` bounds it, with the use that the customer in the
+/// middle makes of its share over the whole fleet, and what was saved up at the start comes on top.
+#[test]
+fn shares_granted_are_bounded_in_the_sum_over_dispatchers() {
+    let seconds = 60.0;
+    for (siblings, skew, seed) in [(3, 0.0, 1), (3, 0.8, 2), (3, 1.9, 3), (6, 4.5, 4)] {
+        let mut fleet = Fleet::new(10, siblings, &QUOTAS);
+        fleet.run(seconds as u64, &[60.0, 6.0, 6.0], skew, seed);
+        let saved = 3.0 * QUOTAS[0] + 2.0 * f64::from(siblings);
+        let times = (fleet.granted(0) - saved) / (seconds * QUOTAS[0]);
+        assert!(times < 1.0 + 6.0 / 7.0, "{siblings} dispatchers, skew {skew}: {times:.2} of its quota");
+        assert!(times > 0.7, "its share is granted: {times:.2}");
+        assert!(fleet.dispatchers.iter().any(|d| d.over_share().next() > Some(0)), "what is over it is lent");
+    }
+}
+
+#[test]
+fn a_job_that_another_process_has_sent_is_not_charged_twice() {
+    let set = Settings { customers: vec![Customer { quota: 1.0 }; 2], ..settings() };
+    let mut rig = Rig::new(set, 4);
+    let before = rig.dispatcher.memory().accounts;
+    let job = |id, customer| Job {
+        id: JobId(id),
+        class: 2,
+        expires: 200 * S,
+        hint: None,
+        slots: 1,
+        key: 0,
+        customer,
+    };
+    let out = Begun { worker: WorkerId(1), age: 10 * MS, out: true, ran: true };
+    rig.play(Event::Adopted { job: job(1, 1), begun: vec![out] });
+    assert_eq!(rig.dispatcher.memory().accounts, before, "the account came over with this job taken off");
+    // One that has gone nowhere yet is sent from here, and taken off its own customer's account.
+    rig.play(Event::Adopted { job: job(2, 1), begun: Vec::new() });
+    assert!(rig.sent(2).is_some());
+    let after = rig.dispatcher.memory().accounts;
+    assert!(after[0] == before[0] && after[1] > 0.0 && after[1] < 3.0, "{before:?}, {after:?}");
+}
+
 #[test]
 fn what_was_lent_is_forgotten_in_a_stated_time() {
     let mut fleet = Fleet::new(10, 1, &QUOTAS);
