Members measured with each device left out, on the faults of the other ways

Change: a table of all six, on the eleven faults on which the other ways are measured. Not measured: times to know of a crash and bytes without each device.

--- a/lab/examples/members.rs
+++ b/lab/examples/members.rs
@@ -109,8 +109,8 @@
 }
 
 /// The program's own way on a case of the other ways.
-fn own(case: &Case, seed: u64) -> detectors::Found {
-    let mut net = Net::settled(case.members, 3, seed, Devices::default());
+fn own(case: &Case, seed: u64, devices: Devices) -> detectors::Found {
+    let mut net = Net::settled(case.members, 3, seed, devices);
     net.links(case.links);
     case.cut.iter().for_each(|(from, to)| net.cut(*from, *to));
     case.killed.into_iter().for_each(|n| net.kill(n));
@@ -132,8 +132,10 @@
     }
 }
 
-/// The program's way beside others', on the same faults.
-fn ways(page: &mut String) -> Result<()> {
+/// What befalls a cluster of ten, in words; and of whom a removal is right.
+type Befalls = (&'static str, Case, &'static [usize]);
+
+fn cases() -> Vec<Befalls> {
     let calm = Case { members: 10, lasts: 60_000.0, ..Case::default() };
     let weather = |loss| Links { loss, twice: 0.1, delay: (150.0, 450.0) };
     let hours = |loss| Case { links: weather(loss), lasts: 1_800_000.0, ..calm.clone() };
@@ -146,8 +148,7 @@
     let apart =
         (0..10).flat_map(|a| (0..10).map(move |b| (a, b))).filter(|(a, b)| (a % 3 == 0) != (b % 3 == 0));
     let zone: Vec<(usize, usize)> = apart.collect();
-    // Of whom a removal is right.
-    let cases: Vec<(&str, Case, &[usize])> = vec![
+    vec![
         ("a crash", Case { killed: Some(4), ..calm.clone() }, &[]),
         ("a crash, 30% loss, 300 ms", Case { killed: Some(4), links: weather(0.3), ..calm.clone() }, &[]),
         ("30 minutes at 10% loss, 300 ms", hours(0.1), &[]),
@@ -159,19 +160,57 @@
         ("one sends and does not hear", cut(&from), &[0]),
         ("one hears and does not send", cut(&to), &[0]),
         ("four of ten cut off both ways", cut(&zone), &[0, 3, 6, 9]),
+    ]
+}
+
+/// Findings that are wrong, over all seeds.
+fn wrong(found: &[detectors::Found], right: &[usize]) -> usize {
+    found.iter().flat_map(|f| &f.wrong).filter(|(_, of)| !right.contains(of)).count()
+}
+
+/// The protocol with each of its devices left out, on the same faults.
+fn left_out(page: &mut String) -> Result<()> {
+    let all = Devices::default();
+    let variants = [
+        ("whole", all),
+        ("most observers", Devices { quorum: false, ..all }),
+        ("indirect pings", Devices { indirect: false, ..all }),
+        ("refutation", Devices { refute: false, ..all }),
+        ("higher incarnations", Devices { raise: false, ..all }),
+        ("own pauses taken out", Devices { pauses: false, ..all }),
+        ("the majority", Devices { majority: false, ..all }),
     ];
+    let names: Vec<&str> = variants.iter().map(|(name, _)| *name).collect();
+    writeln!(
+        page,
+        "\n## Each device left out\n\nThe same faults and seeds; members wrongly found to be gone.\n"
+    )?;
+    writeln!(page, "| what | {} |\n| ---{} |", names.join(" | "), " | ---".repeat(names.len()))?;
+    let seeds: Vec<u64> = (0..10).collect();
+    for (what, case, right) in cases() {
+        let counts = variants.map(|(_, devices)| {
+            let found = each(&seeds, |seed| own(&case, 5_000 + seed, devices));
+            wrong(&found, right).to_string()
+        });
+        writeln!(page, "| {what} | {} |", counts.join(" | "))?;
+    }
+    Ok(())
+}
+
+/// The program's way beside others', on the same faults.
+fn ways(page: &mut String) -> Result<()> {
     writeln!(page, "\n## Beside other ways\n\nTen members, ten seeds, times of five intervals each; the models are `lab/src/detectors.rs`. \
         Known after so many intervals (p50, last; all know unless it says how many not); members wrongly found to be gone, over all finders and seeds.\n")?;
     writeln!(page, "| what | this | SWIM with suspicion | phi accrual |\n| --- | --- | --- | --- |")?;
     let seeds: Vec<u64> = (0..10).collect();
-    for (what, case, right) in &cases {
+    for (what, case, right) in &cases() {
         let mut row = String::new();
         for way in [None, Some(Way::Swim), Some(Way::Phi)] {
             let found = each(&seeds, |seed| match way {
-                None => own(case, 5_000 + seed),
+                None => own(case, 5_000 + seed, Devices::default()),
                 Some(way) => detectors::play(way, case, 5_000 + seed),
             });
-            let wrong = found.iter().flat_map(|f| &f.wrong).filter(|(_, of)| !right.contains(of)).count();
+            let wrong = wrong(&found, right);
             let mut known: Vec<f64> =
                 found.iter().flat_map(|f| f.known.iter().map(|ms| ms / INTERVAL)).collect();
             known.sort_by(f64::total_cmp);
@@ -371,6 +410,7 @@
     writeln!(page, "\n![Cost](cost.svg)")?;
     mass(&mut page)?;
     ways(&mut page)?;
+    left_out(&mut page)?;
     page += &last;
     std::fs::write(out.join("members.md"), &page)?;
     println!("{page}");
