--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -232,6 +232,7 @@
             scratch: vec![0; 64 * 1024],
         };
         new.follow(start.before)?;
+        new.watch_pushed_list(now);
         Ok(new)
     }
 
--- a/node/src/event_loop/watch.rs
+++ b/node/src/event_loop/watch.rs
@@ -7,6 +7,14 @@
 use std::net::SocketAddr;
 
 impl EventLoop {
+    /// Where lists are pushed, an agent has what is new from the first moment and it counts as told: the watch begins with the
+    /// process. Where they have to be asked for, the module says when.
+    pub(super) fn watch_pushed_list(&mut self, now: Millis) {
+        if !self.site.settings.must_ask && self.watch.is_none() {
+            self.watch(now);
+        }
+    }
+
     /// Makes the next call of the watch on a new connection.
     pub(super) fn watch(&mut self, now: Millis) {
         let (call, patience) = self.group.call(self.discovery);
--- a/node/tests/serve/discovery.rs
+++ b/node/tests/serve/discovery.rs
@@ -55,3 +55,20 @@
     again.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
     assert!(again.message().0.contains("after=42&"));
 }
+
+/// Where lists are pushed, an agent holds what is new and all of it counts as told from the first moment of a process.
+#[test]
+fn a_pushed_list_is_watched_from_the_start_and_again_after_every_break() {
+    let pushed = |text: String| text.replace(r#""Discovery": "ask""#, r#""Discovery": "push""#);
+    let s = Scheduler::changed("pushed", 1, pushed);
+    let mut agent = Peer::new(s.discovery.accept().unwrap().0);
+    assert!(agent.message().0.contains("after=41&"));
+    let body = r#"{"version":42,"full":false,"servers":[]}"#;
+    agent.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    assert!(agent.message().0.contains("after=42&"));
+    for _ in 0..3 {
+        drop(agent);
+        agent = Peer::new(s.discovery.accept().unwrap().0);
+        assert!(agent.message().0.contains("after=42&"));
+    }
+}
--- a/node/tests/serve/rig.rs
+++ b/node/tests/serve/rig.rs
@@ -55,6 +55,16 @@
         Scheduler::launch(config, None, target, discovery)
     }
 
+    /// One whose configuration is changed before it starts, with so many targets.
+    pub fn changed(name: &str, targets: usize, change: impl Fn(String) -> String) -> Scheduler {
+        let target = TcpListener::bind("127.0.0.1:0").unwrap();
+        let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+        let config = config(name, discovery.local_addr().unwrap(), target.local_addr().unwrap(), targets);
+        let text = std::fs::read_to_string(&config).unwrap();
+        std::fs::write(&config, change(text)).unwrap();
+        Scheduler::launch(config, None, target, discovery)
+    }
+
     /// One at an address that a newer one can be given, too; `host` is no other test's, nor that of any client.
     pub fn upgradable(name: &str, host: u8) -> Scheduler {
         Scheduler::upgradable_with(name, host, None)
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -123,6 +123,8 @@
     #[serde(default)]
     order_pause_ms: f64,
     overload_factor: f64,
+    #[serde(default = "drain_grace")]
+    stop_sending_within_ms: f64,
     warm_after_ms: f64,
 }
 
@@ -183,6 +185,10 @@
     10_000.0
 }
 
+fn drain_grace() -> f64 {
+    500.0
+}
+
 fn class(service: &Service, stretch: Option<f64>) -> Result<Class, String> {
     let group = match service.group.as_str() {
         "zone" => Group::Zone,
@@ -246,6 +252,7 @@
         siblings: p.siblings,
         must_ask: p.discovery == "ask",
         ask_within: micros(p.rules.ask_within_ms),
+        drain_grace: micros(p.rules.stop_sending_within_ms),
         fields: fields.collect(),
         by_probes: p.report.source == "on_probe",
         zone: p.my_zone,
@@ -300,6 +307,7 @@
         assert_eq!(s.customers, vec![Customer { quota: 4.5 }]);
         assert_eq!(s.fields, vec![Field::Other, Field::FreeSlots, Field::Queue, Field::Jobs]);
         assert_eq!((s.siblings, s.max_attempts, s.ask_within), (2, 6, 10_000_000));
+        assert_eq!(s.drain_grace, 500_000);
         let keyed = Effect::ByKey { group: Group::Cell, window: 25_000_000 };
         assert_eq!((s.classes[0].effect, s.classes[0].stretch), (keyed, 2.0));
         assert_eq!((s.classes[1].effect, s.classes[1].stretch), (Effect::Once, 9.0));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -96,6 +96,8 @@
     pub must_ask: bool,
     /// An unsubscribed dispatcher has to ask within this time.
     pub ask_within: Micros,
+    /// A worker gets nothing new so long after this dispatcher was told that it drains or is gone.
+    pub drain_grace: Micros,
     /// The fields of a load report, in order.
     pub fields: Vec<Field>,
     /// Load reports come with probes alone, not with outcomes.
@@ -377,6 +379,7 @@
             siblings: 1,
             must_ask: false,
             ask_within: 10_000_000,
+            drain_grace: 500_000,
             fields: Vec::new(),
             by_probes: false,
             zone: 0,
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -70,10 +70,10 @@
     fn members(&mut self, kind: ListKind, members: Vec<Member>, out: &mut Vec<Action>) {
         match kind {
             ListKind::Failed => {
-                // The list is a shared service: ask again later and later, but well inside `ask_within`.
-                let moved = self.list_moved.is_some_and(|at| self.now < at + MOVE);
-                let rise = if moved { 0 } else { self.list_failures.min(4) };
-                let step = (250_000u64 << rise).min(self.set.ask_within / 4);
+                // A shared service is asked again later and later, but well inside `ask_within`; an agent at once.
+                let soon = self.list_moved.is_some_and(|at| self.now < at + MOVE) || !self.set.must_ask;
+                let most = if self.set.must_ask { self.set.ask_within } else { self.set.drain_grace };
+                let step = (250_000u64 << if soon { 0 } else { self.list_failures.min(4) }).min(most / 4);
                 self.list_failures += 1;
                 let after = (step as f64 * (0.5 + self.rng.next())) as Micros;
                 return out.push(Action::Wake { after, cookie: Cookie::List.into() });
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -130,6 +130,20 @@
     assert!(waits[4] > waits[0] && waits[4] < 5 * S, "{waits:?}");
 }
 
+#[test]
+fn a_call_to_an_agent_that_pushes_lists_is_made_again_well_inside_the_drain_grace() {
+    // Guards against: what the agent has counts as told, whether or not it could be heard, and a back-off outlasts the grace.
+    for drain_grace in [250 * MS, 750 * MS] {
+        let mut rig = Rig::new(Settings { must_ask: false, drain_grace, ..settings() }, 1);
+        for _ in 0..20 {
+            rig.actions.clear();
+            rig.members(ListKind::Failed, Vec::new());
+            let [Action::Wake { after, .. }] = rig.actions[..] else { panic!("{:?}", rig.actions) };
+            assert!(after < drain_grace / 2, "{after} of {drain_grace}");
+        }
+    }
+}
+
 #[test]
 fn a_failed_trial_is_no_recovery_when_the_whole_fleet_fails() {
     // Guards against: with a high median, a worker that refuses at once passes its trial by refusing.
