--- a/node/src/event_loop/listeners.rs
+++ b/node/src/event_loop/listeners.rs
@@ -76,8 +76,9 @@
             };
             match intake::read(message, &self.site, self.dispatch.waiting().is_on()) {
                 Ask::Up => {
-                    let up = !self.drain.is_on();
-                    let (status, keep) = if up { (200, self.drain.keeps(now, false)) } else { (503, false) };
+                    let up = !self.drain.is_on() && self.is_ready(now);
+                    let keep = self.drain.keeps(now, !up);
+                    let status = if up { 200 } else { 503 };
                     self.reply(key, now, keep, |keep| http::response(status, &[], b"", keep));
                 }
                 Ask::Job(job) if self.drain.refuses(now) => {
@@ -99,17 +100,20 @@
                 Ask::Job(job) if self.upgrade.foreign.contains(&job.trace) => {
                     self.reply(key, now, false, |keep| http::response(409, &[], b"", keep));
                 }
-                Ask::Job(job) => match self.dispatch.arrived(key, *job, now) {
-                    Ok(id) => {
-                        if let Some(trace) = self.dispatch.trace(id) {
-                            self.tell(|| Message::Open(trace.to_string()));
-                        }
-                        if let Some(Socket { role: Role::Listener(_, job), .. }) = self.socket(key) {
-                            *job = Some(id);
+                Ask::Job(job) => {
+                    self.confirm_list(now);
+                    match self.dispatch.arrived(key, *job, now) {
+                        Ok(id) => {
+                            if let Some(trace) = self.dispatch.trace(id) {
+                                self.tell(|| Message::Open(trace.to_string()));
+                            }
+                            if let Some(Socket { role: Role::Listener(_, job), .. }) = self.socket(key) {
+                                *job = Some(id);
+                            }
                         }
+                        Err(not) => self.not_taken(key, &not, now),
                     }
-                    Err(not) => self.not_taken(key, &not, now),
-                },
+                }
                 Ask::Wrong(status) => {
                     let allow = [("Allow", "POST".to_string())];
                     let headers: &[_] = if status == 405 { &allow } else { &[] };
--- a/node/src/event_loop/watch.rs
+++ b/node/src/event_loop/watch.rs
@@ -6,6 +6,10 @@
 use postusher::ListKind;
 use std::net::SocketAddr;
 
+/// A process that discovery does not answer takes clients this long after its start all the same, by the list that it knows.
+/// Time for three calls, and half of what an operator waits for a process to be ready.
+const READY_WITHOUT_LIST: Millis = 5_000.0;
+
 impl EventLoop {
     /// Where lists are pushed, an agent has what is new from the first moment and it counts as told: the watch begins with the
     /// process. Where they have to be asked for, the module says when.
@@ -17,6 +21,7 @@
 
     /// Makes the next call of the watch on a new connection.
     pub(super) fn watch(&mut self, now: Millis) {
+        self.list_asked = true;
         let (call, patience) = self.group.call(self.discovery);
         let role = Role::Discovery(target_group::Connection::new(&call));
         match self.open(self.discovery, role, now + patience) {
@@ -25,6 +30,20 @@
         }
     }
 
+    /// Whether the process is ready for clients. Guards against: jobs for workers that were gone before this process began,
+    /// as its own list is of long ago while what discovery had told by then counts as told.
+    pub(super) fn is_ready(&self, now: Millis) -> bool {
+        self.list_told || now >= self.started + READY_WITHOUT_LIST
+    }
+
+    /// A job has come. Guards against: a process that starts with a list of long ago, sends jobs by it, and only later asks
+    /// whether it still holds: what discovery had before the start counts as told.
+    pub(super) fn confirm_list(&mut self, now: Millis) {
+        if self.watch.is_none() && !self.list_asked {
+            self.watch(now);
+        }
+    }
+
     /// Discovery is elsewhere: the watch at the old place ends, and the whole list is called for at the new one.
     /// The list held stays in use until that has come.
     pub(super) fn move_watch(&mut self, discovery: SocketAddr) {
@@ -38,6 +57,7 @@
 
     /// The module says when to ask again.
     fn watch_failed(&mut self, why: &str) {
+        self.group.answered(false);
         log::warn!("discovery: {why}");
         self.dispatch.members(ListKind::Failed, Vec::new());
     }
@@ -52,6 +72,8 @@
             }
         };
         let Applied { kind, members, stale } = self.group.apply(list);
+        self.group.answered(true);
+        self.list_told = true;
         if kind == ListKind::Full {
             self.ready_for_clients();
         }
--- a/node/src/target_group.rs
+++ b/node/src/target_group.rs
@@ -17,8 +17,8 @@
 /// An answer that has not come so long after that never will. What such a watch has to tell counts as told 2 s after
 /// the wait, so that this leaves time to ask again.
 const PATIENCE: Millis = 1_000.0;
-/// The whole list comes within this time, or never.
-const LIST_PATIENCE: Millis = 1_500.0;
+/// An answer to a call that does not wait comes within this time, or never.
+const PROMPT_PATIENCE: Millis = 1_500.0;
 
 /// A list, or changes to one, as discovery tells it.
 #[derive(Debug, Default)]
@@ -84,6 +84,8 @@
     /// Those that an operator has taken out, on the list or not: their numbers stay theirs.
     taken_out: BTreeMap<WorkerId, Rc<str>>,
     version: Option<u64>,
+    /// The last call to discovery was answered: what is held is as new as discovery's own list, and the next call may wait.
+    confirmed: bool,
     zones: Vec<String>,
     models: Vec<String>,
 }
@@ -107,7 +109,8 @@
     /// No targets.
     pub fn new(site: &Site) -> Self {
         let (zones, models) = (site.zones.clone(), site.models.clone());
-        TargetGroup { targets: HashMap::new(), taken_out: BTreeMap::new(), version: None, zones, models }
+        let (targets, taken_out) = (HashMap::new(), BTreeMap::new());
+        TargetGroup { targets, taken_out, version: None, confirmed: false, zones, models }
     }
 
     /// A target that the list has named.
@@ -141,7 +144,17 @@
     /// The list comes from another service from now on. Guards against: a call for the changes since a version
     /// that only the service before it knows.
     pub fn moved(&mut self) {
-        self.version = None;
+        (self.version, self.confirmed) = (None, false);
+    }
+
+    /// Discovery has answered a call, or has not.
+    pub fn answered(&mut self, whole: bool) {
+        self.confirmed = whole;
+    }
+
+    /// Whether what is held was confirmed by discovery's last answer.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed
     }
 
     fn member(&mut self, e: Entry) -> Member {
@@ -207,11 +220,16 @@
     }
 
     /// The next call to discovery, and how long its answer may take: the changes since the version held, or
-    /// the whole list where none is held.
+    /// the whole list where none is held. Guards against: a list from before a start or a failed call, of which nobody
+    /// knows for the length of a wait whether it still holds.
     pub fn call(&self, host: SocketAddr) -> (Vec<u8>, Millis) {
+        let wait = if self.confirmed { WAIT } else { 0.0 };
         let (target, patience) = match self.version {
-            Some(version) => (format!("/discovery/hosts?after={version}&wait_ms={WAIT}"), WAIT + PATIENCE),
-            None => ("/discovery/hosts".to_string(), LIST_PATIENCE),
+            Some(version) if self.confirmed => {
+                (format!("/discovery/hosts?after={version}&wait_ms={wait}"), WAIT + PATIENCE)
+            }
+            Some(version) => (format!("/discovery/hosts?after={version}&wait_ms={wait}"), PROMPT_PATIENCE),
+            None => ("/discovery/hosts".to_string(), PROMPT_PATIENCE),
         };
         let line = RequestLine { method: "GET".into(), target };
         let host = host.to_string();
@@ -326,9 +344,15 @@
         let text = |group: &TargetGroup| String::from_utf8(group.call(([127, 0, 0, 1], 9).into()).0).unwrap();
         assert!(text(&group).starts_with("GET /discovery/hosts HTTP/1.1\r\n"));
         group.apply(list(false, json!([])));
+        // What a start or a failed call leaves in doubt is asked for without a wait, and answered soon or never.
+        assert!(text(&group).starts_with("GET /discovery/hosts?after=43&wait_ms=0 HTTP/1.1\r\n"));
+        assert!(group.call(([127, 0, 0, 1], 9).into()).1 <= 1_500.0);
+        group.answered(true);
         assert!(text(&group).starts_with("GET /discovery/hosts?after=43&wait_ms=4000 HTTP/1.1\r\n"));
         // A silent watch is asked again well before what it had to tell counts as told: 2 s after the wait.
         assert!(group.call(([127, 0, 0, 1], 9).into()).1 <= 4_000.0 + 1_500.0);
+        group.answered(false);
+        assert!(text(&group).contains("wait_ms=0"));
     }
 
     #[test]
--- a/node/tests/serve/discovery.rs
+++ b/node/tests/serve/discovery.rs
@@ -72,3 +72,38 @@
         assert!(agent.message().0.contains("after=42&"));
     }
 }
+
+fn answers_up(s: &Scheduler) -> bool {
+    let mut up = s.connect();
+    up.send("GET /up HTTP/1.1\r\n\r\n");
+    up.message().0 == "HTTP/1.1 200 OK"
+}
+
+/// The list that a process starts with may be of long ago, and what discovery has by then counts as told.
+#[test]
+fn a_process_is_up_once_discovery_has_confirmed_its_list() {
+    let s = Scheduler::start("confirmed");
+    assert!(!answers_up(&s));
+    let _watch = s.listed();
+    assert!(answers_up(&s));
+}
+
+/// Discovery may be down for longer than clients can do without this process.
+#[test]
+fn a_process_that_discovery_never_answers_is_up_all_the_same() {
+    let s = Scheduler::start("unconfirmed");
+    while !answers_up(&s) {}
+}
+
+/// Hundreds of schedulers that start together spread their first calls; one with a job to place does not wait for its turn.
+#[test]
+fn the_first_job_has_the_list_confirmed_at_once() {
+    let rare = |text: String| {
+        let text = text.replace(r#""Discovery": "ask""#, r#""Discovery": "ask", "Siblings": 4000000"#);
+        text.replace(r#""Rules": {"#, r#""Rules": {"AskWithinMs": 36000000, "#)
+    };
+    let s = Scheduler::changed("first-job", 1, rare);
+    let mut client = s.connect();
+    client.job("t1");
+    let _watch = s.listed();
+}
--- a/node/tests/serve/main.rs
+++ b/node/tests/serve/main.rs
@@ -163,6 +163,7 @@
 #[test]
 fn silent_and_endless_clients_are_closed_and_keep_nobody_waiting() {
     let s = Scheduler::start("rude");
+    let _watch = s.listed();
     let (mut silent, mut half, mut endless) = (s.connect(), s.connect(), s.connect());
     half.send("POST /render HTTP/1.1\r\nContent-Le");
     endless.send("nonsense\r\n\r\n");
@@ -200,6 +201,7 @@
 #[test]
 fn a_drain_by_call_turns_clients_away_step_by_step_and_is_undone() {
     let mut s = Scheduler::start("drained-by-call");
+    let _watch = s.listed();
     let is_up = |s: &Scheduler| {
         let mut up = s.connect();
         up.send("GET /up HTTP/1.1\r\n\r\n");
@@ -235,6 +237,7 @@
 #[test]
 fn sigterm_lets_work_end_before_the_program_does() {
     let mut s = Scheduler::start("drained");
+    let _watch = s.listed();
     let (mut client, mut up) = (s.connect(), s.connect());
     up.send("GET /up HTTP/1.1\r\n\r\n");
     assert_eq!(up.message().0, "HTTP/1.1 200 OK");
--- a/node/tests/serve/rig.rs
+++ b/node/tests/serve/rig.rs
@@ -95,15 +95,10 @@
 
     /// The newer process beside this one, with its list; also the two watches on it.
     pub fn upgraded(&self) -> (Scheduler, [Peer; 2]) {
-        let old = Peer::new(self.discovery.accept().unwrap().0);
+        let old = self.listed();
         let mut new = self.newer();
         assert!(!new.says_yes("GET /healthcheck"));
-        let mut list = Peer::new(self.discovery.accept().unwrap().0);
-        assert_eq!(list.message().0, "GET /discovery/hosts HTTP/1.1");
-        let text = std::fs::read_to_string(&self.config).unwrap();
-        let known =
-            text.split("\"known\": ").nth(1).and_then(|t| t.split(",\n        \"settings").next()).unwrap();
-        list.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{known}", known.len()));
+        let list = self.listed_whole();
         new.logs("ready: this process takes clients now");
         assert!(new.says_yes("GET /healthcheck"));
         (new, [old, list])
@@ -134,6 +129,27 @@
         Scheduler { addr, mgmt, process, log, target, discovery, config, setup }
     }
 
+    /// Discovery's end of the watch, once the scheduler has heard there that its list is up to date: it is ready then.
+    pub fn listed(&self) -> Peer {
+        let mut discovery = Peer::new(self.discovery.accept().unwrap().0);
+        assert!(discovery.message().0.contains("after=41&wait_ms=0 "));
+        discovery.list(r#"{"version":41,"full":false,"servers":[]}"#);
+        assert!(discovery.message().0.contains("after=41&wait_ms=4000 "));
+        discovery
+    }
+
+    /// The same of one that asks for the whole list: it is the one of the configuration.
+    pub fn listed_whole(&self) -> Peer {
+        let mut discovery = Peer::new(self.discovery.accept().unwrap().0);
+        assert_eq!(discovery.message().0, "GET /discovery/hosts HTTP/1.1");
+        let text = std::fs::read_to_string(&self.config).unwrap();
+        let known =
+            text.split("\"known\": ").nth(1).and_then(|t| t.split(",\n        \"settings").next()).unwrap();
+        discovery.list(known);
+        assert!(discovery.message().0.contains("after=41&wait_ms=4000 "));
+        discovery
+    }
+
     pub fn connect(&self) -> Peer {
         Peer::new(TcpStream::connect(self.addr).unwrap())
     }
@@ -200,6 +216,11 @@
         ));
     }
 
+    /// Answers a call to discovery.
+    pub fn list(&mut self, body: &str) {
+        self.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    }
+
     /// The next message: its first line, its head and its body.
     pub fn message(&mut self) -> (String, String, String) {
         let (mut head, mut length) = (String::new(), 0);
--- a/node/tests/serve/upgrades.rs
+++ b/node/tests/serve/upgrades.rs
@@ -102,14 +102,16 @@
     old.logs("this one is alone");
     assert!(is_up(&old) && old.says_yes("GET /healthcheck"));
     drop((new, watches));
-    // The old one dies before the next has had a list: that one takes clients all the same.
+    // The old one dies before the next has had a list: that one takes clients all the same, once it has.
     let mut new = old.newer();
     old.process.kill().unwrap();
     new.logs("this one is alone");
+    let _watch = new.listed_whole();
     assert!(is_up(&new) && new.says_yes("GET /healthcheck"));
     // What an ended process has left at the meeting place stops no start.
     new.process.kill().unwrap();
     new.process.wait().unwrap();
     let last = new.newer();
+    let _watch = last.listed();
     assert!(is_up(&last));
 }
