An attempt is checked and written as its connection comes up, not as it is decided

Cause: the request of an attempt was put into the buffer of a connection that was still coming up; by the time it was up the worker could drain or be gone past the grace, and the time told to it could be over (connect limits are the site's: 900 ms and more are legal). Change: one place, begin_attempt, just before the first byte: the request is still unanswered and in time, the attempt is out, the worker is listed at that address and takes jobs. Else the attempt ends as one that never ran (Withheld), which says nothing of the worker's health. X-Expires-In tells what is left then.

--- a/node/src/dispatch/arrivals.rs
+++ b/node/src/dispatch/arrivals.rs
@@ -109,7 +109,8 @@
         for (n, (target, leg)) in legs.into_iter().enumerate() {
             let (name, sent, out, ran) = (leg.target.into(), now - leg.age, leg.out, leg.ran);
             begun.push(Begun { worker: target, age: micros(leg.age), out, ran });
-            r.legs.push(Leg { target, name, sent, taken: true, out, ran });
+            let until = r.expires;
+            r.legs.push(Leg { target, name, sent, until, taken: true, out, ran });
             self.timers.set(r.expires, Due::Attempt(id, n as u8));
         }
         self.events.push(Event::Adopted { job: r.told(id), begun });
--- a/node/src/dispatch/attempts.rs
+++ b/node/src/dispatch/attempts.rs
@@ -51,6 +51,7 @@
             End::Stale { sent: true } => return self.settle(id, leg, Ending::Stale, Vec::new(), now),
             End::Stale { sent: false } => return self.settle(id, leg, Ending::Moot, Vec::new(), now),
             End::NotSent => return self.settle(id, leg, Ending::ConnectFailed, Vec::new(), now),
+            End::Withheld => return self.settle(id, leg, Ending::Moot, Vec::new(), now),
             End::Answer(answer) => answer,
         };
         let never_ran = answer.headers.get("X-Never-Ran") == Some("1");
@@ -82,7 +83,7 @@
                 let ending = if m.line.status == 200 { Ending::Ok } else { Ending::Error };
                 (ending, report_from_text(text, &self.site))
             }
-            Some(End::NotSent) => (Ending::ConnectFailed, Vec::new()),
+            Some(End::NotSent | End::Withheld) => (Ending::ConnectFailed, Vec::new()),
             Some(End::Broken) => (Ending::Reset, Vec::new()),
             Some(End::Stale { .. }) => (Ending::Stale, Vec::new()),
             None => (Ending::Timeout, Vec::new()),
@@ -102,8 +103,8 @@
         let listed = group.get(target);
         let name = listed.map_or_else(|| "".into(), |t| t.name.clone());
         let leg = r.legs.len() as u8;
-        r.legs.push(Leg { target, name, sent: now, taken: false, out: true, ran: true });
         let until = if within == 0 { r.expires } else { r.expires.min(now + within as f64 / 1e3) };
+        r.legs.push(Leg { target, name, sent: now, until, taken: false, out: true, ran: true });
         let twice = r.legs.iter().filter(|l| l.out && l.target == target).count() > 1;
         // What came before in the same batch may have ended the request.
         if r.answered || twice {
@@ -113,9 +114,17 @@
         if listed.is_none() {
             return self.settle(id, leg, Ending::ConnectFailed, Vec::new(), now);
         }
-        let request = r.job.payload.request(until - now);
         self.timers.set(until, Due::Attempt(id, leg));
-        self.deeds.push(Deed::Forward { job: id, leg, target, request });
+        self.deeds.push(Deed::Forward { job: id, leg, target });
+    }
+
+    /// What a target is sent for an attempt that begins now; `None` if it is not to begin any more: the request has its
+    /// answer or its client has left, the attempt is over, or the target gets nothing new.
+    pub fn request(&self, id: JobId, leg: u8, now: Millis) -> Option<Vec<u8>> {
+        let r = self.requests.get(&id).filter(|r| !r.answered)?;
+        let l = r.legs.get(usize::from(leg)).filter(|l| l.out && now < l.until)?;
+        let allowed = self.module.accepts(l.target);
+        allowed.then(|| r.job.payload.request(l.until - now))
     }
 
     pub(super) fn withdraw(&mut self, id: JobId, leg: u8, now: Millis) {
--- a/node/src/dispatch/mod.rs
+++ b/node/src/dispatch/mod.rs
@@ -33,8 +33,8 @@
 pub enum Deed {
     /// Give a client its answer.
     Answer(Key, Answer),
-    /// Send a target this request as an attempt.
-    Forward { job: JobId, leg: u8, target: WorkerId, request: Vec<u8> },
+    /// Make an attempt at a target; [`Dispatch::request`] has what it is sent once its connection is up.
+    Forward { job: JobId, leg: u8, target: WorkerId },
     /// Give up an attempt that no target has taken yet.
     Abandon(JobId, u8),
     /// Tell a target that a job it has taken is given up.
@@ -77,6 +77,8 @@
     target: WorkerId,
     name: Rc<str>,
     sent: Millis,
+    /// When it is given up.
+    until: Millis,
     /// The target has said that it has the job.
     taken: bool,
     out: bool,
--- a/node/src/event_loop.rs
+++ b/node/src/event_loop.rs
@@ -339,9 +339,7 @@
     fn act(&mut self, deed: Deed, now: Millis) {
         match deed {
             Deed::Answer(client, answer) => self.answer(client, &answer, now),
-            Deed::Forward { job, leg, target, request } => {
-                self.forward(target, Task::Attempt(job, leg), &request, now);
-            }
+            Deed::Forward { job, leg, target } => self.attempt(job, leg, target, now),
             Deed::Abandon(job, leg) => {
                 if let Some(key) = self.pool.attempts.remove(&(job, leg)) {
                     self.abandon(key);
--- a/node/src/event_loop/forwards.rs
+++ b/node/src/event_loop/forwards.rs
@@ -5,7 +5,7 @@
 use crate::forward::{self, End, Task};
 use crate::http::{self, RequestLine};
 use crate::invariant::{holds, Invariant};
-use postusher::WorkerId;
+use postusher::{JobId, WorkerId};
 use std::io::ErrorKind;
 
 /// A probe that takes longer has failed: by far more than an answer beside the queue takes.
@@ -24,11 +24,47 @@
     pub(super) fn call(&mut self, target: WorkerId, task: Task, line: &RequestLine, now: Millis) {
         let host = self.group.get(target).map(|t| t.addr.to_string()).unwrap_or_default();
         let request = http::request(line, &[("Host", host.as_bytes())], b"");
-        self.forward(target, task, &request, now);
+        let Some(key) = self.start_task(target, task, now) else { return };
+        if let Some(Socket { role: Role::Forward(c), .. }) = self.socket(key) {
+            c.write(&request);
+        }
+        self.flush(key);
+    }
+
+    /// Makes an attempt of a job.
+    pub(super) fn attempt(&mut self, job: JobId, leg: u8, target: WorkerId, now: Millis) {
+        let Some(key) = self.start_task(target, Task::Attempt(job, leg), now) else { return };
+        if self.socket(key).is_some_and(|s| !s.connecting) {
+            self.begin_attempt(key);
+        }
+    }
+
+    /// Writes an attempt's request, as its connection is up. The one place where a job leaves for a worker: a connection may have
+    /// come up long after the decision, and meanwhile the client may have left, the job's time may be over, and the worker may
+    /// drain, be gone or have moved.
+    pub(super) fn begin_attempt(&mut self, key: Key) {
+        let now = self.clock.now();
+        let Some(Socket { role: Role::Forward(c), stream, .. }) = self.socket(key) else { return };
+        let (Some(task @ Task::Attempt(job, leg)), target) = (c.task(), c.target) else { return };
+        let at = stream.peer_addr().ok();
+        let is_there = self.group.get(target).is_some_and(|t| Some(t.addr) == at);
+        let request = self.dispatch.request(job, leg, now).filter(|_| is_there);
+        let Some(Socket { role: Role::Forward(c), .. }) = self.socket(key) else { return };
+        if let Some(request) = request {
+            c.write(&request);
+            return self.flush(key);
+        }
+        c.give_up();
+        if is_there {
+            self.rest(key);
+        } else {
+            self.close(key);
+        }
+        self.task_ended(task, End::Withheld, target, now);
     }
 
-    /// Gives a target a task, on the idle connection used last or on a new one.
-    pub(super) fn forward(&mut self, target: WorkerId, task: Task, request: &[u8], now: Millis) {
+    /// Has a target's idle connection used last, or a new one, take on a task. `None`: there is none, and the task has ended.
+    fn start_task(&mut self, target: WorkerId, task: Task, now: Millis) -> Option<Key> {
         let limit = match task {
             Task::Attempt(..) => now + TAKEN_LIMIT,
             Task::Withdrawal => now + WITHDRAWAL_LIMIT,
@@ -37,7 +73,8 @@
         let Some(addr) = self.group.get(target).map(|t| t.addr) else {
             // A withdrawal from a target that is gone says nothing that matters.
             holds(Invariant::TargetListed, !matches!(task, Task::Attempt(..)));
-            return self.task_ended(task, End::NotSent, target, now);
+            self.task_ended(task, End::NotSent, target, now);
+            return None;
         };
         let key = match self.pool.take(target) {
             Some(key) => Ok(key),
@@ -51,23 +88,25 @@
             Ok(key) => key,
             Err(e) if e.kind() == ErrorKind::QuotaExceeded => {
                 self.short(now);
-                return self.task_ended(task, End::NotSent, target, now);
+                self.task_ended(task, End::NotSent, target, now);
+                return None;
             }
             Err(e) => {
                 log::warn!("no connection to {addr}: {e}");
-                return self.task_ended(task, End::NotSent, target, now);
+                self.task_ended(task, End::NotSent, target, now);
+                return None;
             }
         };
-        let Some(socket) = self.socket(key) else { return };
-        let Role::Forward(c) = &mut socket.role else { return };
-        c.start(task, request);
+        let socket = self.socket(key)?;
+        let Role::Forward(c) = &mut socket.role else { return None };
+        c.start(task);
         if !socket.connecting {
             self.set_deadline(key, limit);
         }
         if let Task::Attempt(job, leg) = task {
             self.pool.attempts.insert((job, leg), key);
         }
-        self.flush(key);
+        Some(key)
     }
 
     /// Says how a task ended to whom it concerns.
--- a/node/src/event_loop/sockets.rs
+++ b/node/src/event_loop/sockets.rs
@@ -135,6 +135,7 @@
             if let Some(Task::Attempt(..)) = c.task() {
                 self.set_deadline(key, now + TAKEN_LIMIT); // the connect limit is met
             }
+            self.begin_attempt(key);
             self.rest(key);
         }
         true
--- a/node/src/forward.rs
+++ b/node/src/forward.rs
@@ -24,6 +24,8 @@
     Answer(Message<StatusLine>),
     /// Before its last byte was written: the target cannot have begun it.
     NotSent,
+    /// Before its first byte was written, as it is not to be sent any more; nothing is wrong with the connection.
+    Withheld,
     /// After that, without an answer.
     Broken,
     /// On a kept connection that broke: before its last byte was written, or after.
@@ -38,6 +40,9 @@
     /// The request on its way.
     pub outbox: Outbox,
     task: Option<Task>,
+    /// The request of the task at hand was put into the outbox. Guards against: one that waits for its connection, taken for
+    /// one that was sent.
+    written: bool,
     /// It has brought an answer before the task at hand. Guards against: one that stood idle and was cut off by
     /// something on the way, taken for a target in ill health.
     kept: bool,
@@ -49,17 +54,29 @@
     /// A connection that is being opened.
     pub fn new(target: WorkerId) -> Self {
         let (decoder, outbox) = (Decoder::new(), Outbox::default());
-        Connection { target, decoder, outbox, task: None, kept: false, up: false, open: true }
+        Connection { target, decoder, outbox, task: None, written: false, kept: false, up: false, open: true }
     }
 
-    /// Begins a task with its request.
-    pub fn start(&mut self, task: Task, request: &[u8]) {
+    /// Takes on a task; its request is written when the connection is up.
+    pub fn start(&mut self, task: Task) {
         if holds(Invariant::ConnectionIdle, self.open && self.task.is_none()) {
-            self.task = Some(task);
+            (self.task, self.written) = (Some(task), false);
+        }
+    }
+
+    /// Writes the request of the task at hand.
+    pub fn write(&mut self, request: &[u8]) {
+        if holds(Invariant::ConnectionIdle, self.task.is_some() && !self.written) {
             self.outbox.put(request);
+            self.written = true;
         }
     }
 
+    /// Whether the last byte of the request was written to the socket.
+    fn is_sent(&self) -> bool {
+        self.written && self.outbox.unsent().is_empty()
+    }
+
     /// It is up.
     pub fn connected(&mut self) {
         self.up = true;
@@ -103,7 +120,7 @@
 
     fn answered(&mut self, message: Message<StatusLine>) -> Option<(Task, End)> {
         // An answer before the request's last byte leaves the rest of it unread.
-        self.open &= message.keep_alive && self.decoder.is_empty() && self.outbox.unsent().is_empty();
+        self.open &= message.keep_alive && self.decoder.is_empty() && self.is_sent();
         let task = self.task.take();
         self.kept = true;
         self.open &= task.is_some();
@@ -116,8 +133,8 @@
         let whole = self.decoder.end();
         let end = match whole {
             Some(message) => End::Answer(message),
-            None if self.kept => End::Stale { sent: self.outbox.unsent().is_empty() },
-            None if self.outbox.unsent().is_empty() => End::Broken,
+            None if self.kept => End::Stale { sent: self.is_sent() },
+            None if self.is_sent() => End::Broken,
             None => End::NotSent,
         };
         Some((self.task.take()?, end))
@@ -131,7 +148,7 @@
     /// The task is given up. A request of which nothing was written is taken back; else the connection is done.
     pub fn give_up(&mut self) {
         if self.task.take().is_some() {
-            self.open &= !self.outbox.unsent().is_empty() && !self.outbox.is_begun();
+            self.open &= !self.is_sent() && !self.outbox.is_begun();
             self.outbox.clear();
         }
     }
--- a/node/src/target_group.rs
+++ b/node/src/target_group.rs
@@ -152,11 +152,6 @@
         self.confirmed = whole;
     }
 
-    /// Whether what is held was confirmed by discovery's last answer.
-    pub fn is_confirmed(&self) -> bool {
-        self.confirmed
-    }
-
     fn member(&mut self, e: Entry) -> Member {
         let worker = self.id(&e.id);
         self.targets.insert(worker, Target { name: e.id.into(), addr: e.addr });
--- a/node/tests/serve/main.rs
+++ b/node/tests/serve/main.rs
@@ -6,6 +6,7 @@
 use std::process::Command;
 use std::time::Duration;
 
+mod crossings;
 mod discovery;
 mod members;
 mod rig;
--- a/node/tests/serve/rig.rs
+++ b/node/tests/serve/rig.rs
@@ -57,7 +57,16 @@
 
     /// One whose configuration is changed before it starts, with so many targets.
     pub fn changed(name: &str, targets: usize, change: impl Fn(String) -> String) -> Scheduler {
-        let target = TcpListener::bind("127.0.0.1:0").unwrap();
+        Scheduler::before(TcpListener::bind("127.0.0.1:0").unwrap(), name, targets, change)
+    }
+
+    /// The same with the listener that its targets have.
+    pub fn before(
+        target: TcpListener,
+        name: &str,
+        targets: usize,
+        change: impl Fn(String) -> String,
+    ) -> Scheduler {
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let config = config(name, discovery.local_addr().unwrap(), target.local_addr().unwrap(), targets);
         let text = std::fs::read_to_string(&config).unwrap();
@@ -244,3 +253,31 @@
         self.0.read(&mut [0]).unwrap() == 0
     }
 }
+
+/// A target's listener at which no connection comes up until it is opened: its queue of one is full.
+pub struct Gate {
+    listener: TcpListener,
+    _filler: TcpStream,
+}
+
+impl Gate {
+    pub fn shut() -> Gate {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let filler = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        Gate { listener, _filler: filler }
+    }
+
+    /// For the scheduler's configuration.
+    pub fn target(&self) -> TcpListener {
+        self.listener.try_clone().unwrap()
+    }
+
+    /// Lets connections come up; gives the first that does, once the system has tried it again.
+    pub fn open(&self) -> Peer {
+        drop(self.listener.accept().unwrap());
+        Peer::new(self.listener.accept().unwrap().0)
+    }
+}
--- a/src/state/lookup.rs
+++ b/src/state/lookup.rs
@@ -248,6 +248,11 @@
         w.ready() && !self.taken_out.contains(&w.member.worker)
     }
 
+    /// Whether an attempt may begin at a worker: its list and the operators let it take jobs still.
+    pub fn accepts(&self, worker: WorkerId) -> bool {
+        self.workers.get(&worker).is_some_and(|w| self.takes(w))
+    }
+
     /// What the fleet has room for now. Costs time in proportion to the number of workers.
     pub fn vacancy(&self) -> Vacancy {
         let mut sum = Vacancy::default();
