--- a/node/src/event_loop/forwards.rs
+++ b/node/src/event_loop/forwards.rs
@@ -76,8 +76,8 @@
             self.task_ended(task, End::NotSent, target, now);
             return None;
         };
-        // Word that an attempt is given up is not mistaken by a second answer to what came before.
-        let quiet_by = if task == Task::Withdrawal { f64::INFINITY } else { now };
+        // Only an attempt is mistaken by a second answer to what came before: probes and withdrawals leave it the quiet ones.
+        let quiet_by = if matches!(task, Task::Attempt(..)) { now } else { f64::INFINITY };
         let key = match self.pool.take(target, quiet_by) {
             Some(key) => Ok(key),
             None => {
