A half-read request at the very end is tested; a setter says what it sets

Cause: on reading the change again, the refusal of a half-read request as the time runs out (503) was covered by no test: in the one there, the limit for a whole request (408) comes first; and answered(bool) on the list of workers did not say what it sets. Change: a test that stops the process over that time, the setter renamed set_confirmed. No behaviour changed, no assertion touched.

--- a/node/src/event_loop/watch.rs
+++ b/node/src/event_loop/watch.rs
@@ -57,7 +57,7 @@
 
     /// The module says when to ask again.
     fn watch_failed(&mut self, why: &str) {
-        self.group.answered(false);
+        self.group.set_confirmed(false);
         log::warn!("discovery: {why}");
         self.dispatch.members(ListKind::Failed, Vec::new());
     }
@@ -65,7 +65,7 @@
     /// Takes in what discovery tells.
     fn take_list(&mut self, list: List) {
         let Applied { kind, members, stale } = self.group.apply(list);
-        self.group.answered(true);
+        self.group.set_confirmed(true);
         self.list_told = true;
         if kind == ListKind::Full {
             self.ready_for_clients();
--- a/node/src/target_group.rs
+++ b/node/src/target_group.rs
@@ -153,8 +153,8 @@
     }
 
     /// Discovery has answered a call, or has not.
-    pub fn answered(&mut self, whole: bool) {
-        self.confirmed = whole;
+    pub fn set_confirmed(&mut self, confirmed: bool) {
+        self.confirmed = confirmed;
     }
 
     fn member(&mut self, e: Entry) -> Member {
@@ -347,11 +347,11 @@
         assert!(text(&group).starts_with("GET /discovery/hosts?after=43&wait_ms=0 HTTP/1.1\r\n"));
         // Guards against: calls made again while a crowded discovery still has the first in its queue, which keeps it crowded.
         assert!(group.call(([127, 0, 0, 1], 9).into()).1 >= 4_000.0);
-        group.answered(true);
+        group.set_confirmed(true);
         assert!(text(&group).starts_with("GET /discovery/hosts?after=43&wait_ms=4000 HTTP/1.1\r\n"));
         // A silent watch is asked again well before what it had to tell counts as told: 2 s after the wait.
         assert!(group.call(([127, 0, 0, 1], 9).into()).1 <= 4_000.0 + 1_500.0);
-        group.answered(false);
+        group.set_confirmed(false);
         assert!(text(&group).contains("wait_ms=0"));
     }
 
--- a/node/tests/serve/shutdown.rs
+++ b/node/tests/serve/shutdown.rs
@@ -59,6 +59,22 @@
     ends_well(s);
 }
 
+#[test]
+fn a_request_half_read_at_the_very_end_of_the_time_is_refused() {
+    let (mut s, _client, _worker, _watch) = at_work("half-read-late");
+    s.signal("-TERM");
+    s.logs("SIGTERM: 1 request");
+    // It stands still, so that the half comes at a time from which a request may take longer than the process has left.
+    s.signal("-STOP");
+    let mut half = s.connect();
+    half.send("POST /render HTTP/1.1\r\nX-Trace-Id: t2\r\nContent-Le");
+    std::thread::sleep(Duration::from_millis(1_500));
+    s.signal("-CONT");
+    assert_eq!(half.message().0, "HTTP/1.1 503 Service Unavailable");
+    assert!(half.ends());
+    ends_well(s);
+}
+
 #[test]
 fn a_request_pipelined_behind_one_under_way_at_sigterm_has_its_answer_too() {
     let (mut s, mut client, worker, _watch) = at_work("pipelined");
