Read what arrived from the other process of an upgrade before its link is dropped

Callers saw: after an upgrade under load, connections ended without an answer although their jobs had been accepted.

Cause: a failed write to the other process (flush_peer) dropped the link at once, with the migrated client connections and messages that had arrived on it and were not read yet. The predecessor exits right after its last migration, so that any write of the successor while it adopts the first connections fails. The same happened with a queue over its limit.

Evidence: the new test stops the successor, migrates three connections with unread requests and closes the link. On the code before, the first adopted request makes the successor write, the write fails, and the other two clients never reach a worker ("no connection arrived", 30 s).

Change: a failed write, or a queue over its limit, shuts the link down in both directions, so that nothing more can be sent to it; the loop then reads it to its end before it treats the other process as exited. Reading is left to the loop, as writes also happen while a message is handled. The state of an upgrade has a file of its own.

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -28,7 +28,7 @@
 use signals::CounterOccasion;
 use std::io;
 use std::rc::Rc;
-use upgrade::Upgrade;
+use upgrade_state::Upgrade;
 use watch::ListWatch;
 
 mod accept;
@@ -44,6 +44,7 @@
 mod sockets;
 mod transfer;
 mod upgrade;
+mod upgrade_state;
 mod upstreams;
 mod watch;
 
@@ -212,7 +213,9 @@
     fn wait_for_events(&mut self, events: &mut Events) -> io::Result<()> {
         let now = self.clock.now();
         let has_datagrams = self.membership.as_ref().is_some_and(Membership::has_unread_datagrams);
-        if self.dispatch.has_events() || !self.unfinished_reads.is_empty() || has_datagrams {
+        let has_unread_input =
+            !self.unfinished_reads.is_empty() || has_datagrams || self.upgrade.has_unread_messages();
+        if self.dispatch.has_events() || has_unread_input {
             return net::wait(&mut self.poll, events, 0.0);
         }
         let wake_times = [
@@ -240,6 +243,9 @@
         for id in unfinished_reads {
             self.drive(id);
         }
+        if self.upgrade.has_unread_messages() {
+            self.handle_peer_readiness();
+        }
         let now = self.clock.now();
         // If the events above have already accepted connections, they have also changed the schedule.
         if accept_schedule.is_due(now) && accept_schedule == self.accept_schedule {
--- a/crates/node/src/event_loop/migration.rs
+++ b/crates/node/src/event_loop/migration.rs
@@ -33,7 +33,7 @@
         for id in clients {
             // If the write buffer is empty, the beginning of a message is sent together with its descriptor,
             // or nothing is sent at all. Only the end of the message may remain in the buffer.
-            if !self.upgrade.peer.as_ref().is_some_and(|peer| peer.is_flushed()) {
+            if !self.upgrade.peer.as_ref().is_some_and(|peer| peer.can_send() && peer.is_flushed()) {
                 return;
             }
             match self.migrate_client(id, now) {
--- a/crates/node/src/event_loop/upgrade.rs
+++ b/crates/node/src/event_loop/upgrade.rs
@@ -3,6 +3,7 @@
 
 use super::accept::AcceptSchedule;
 use super::descriptor_passing::{receive_with_descriptors, send_with_descriptor, Predecessor};
+use super::upgrade_state::Peer;
 use super::{membership, EventLoop, CLIENT_LISTENER, UPGRADE_PEER, UPGRADE_SOCKET};
 use crate::admin::AdminRequest;
 use crate::job_status::JobStatusUpdate;
@@ -11,87 +12,9 @@
 use mio::net::{UnixListener, UnixStream};
 use mio::Interest;
 use postusher_deferred_jobs::JobEndStatus;
-use std::collections::{HashSet, VecDeque};
 use std::io::{self, ErrorKind};
-use std::os::fd::{AsFd, OwnedFd};
-use std::path::{Path, PathBuf};
-
-/// The other process of an upgrade: this one's successor or predecessor.
-pub(super) struct Peer {
-    pub(super) stream: UnixStream,
-    pub(super) link: Link,
-    /// Descriptors of migrated client connections, one for each [`Message::ConnectionMigrated`] that has not
-    /// been handled yet.
-    pub(super) received_descriptors: VecDeque<OwnedFd>,
-}
-
-impl Peer {
-    /// Returns whether all messages to the other process have been sent.
-    pub(super) fn is_flushed(&self) -> bool {
-        self.link.write_buffer.unsent().is_empty()
-    }
-}
-
-/// State that a process needs for upgrades, whether or not one is in progress.
-pub(super) struct Upgrade {
-    /// Path of the upgrade socket to which a successor connects; `None` if no successor can connect.
-    socket_path: Option<PathBuf>,
-    /// Listener on the upgrade socket, while this process accepts clients.
-    socket: Option<UnixListener>,
-    /// The other process, while an upgrade is in progress.
-    pub(super) peer: Option<Peer>,
-    /// Trace ids of jobs that are open at the other process.
-    jobs_open_at_peer: HashSet<String>,
-    /// Trace ids of jobs that have migrated to the other process.
-    migrated_jobs: HashSet<String>,
-    /// Digest of the settings of this process.
-    settings_digest: u64,
-    /// The predecessor has the same settings, by their digest.
-    has_same_settings: bool,
-    /// This process accepts client connections.
-    accepts_clients: bool,
-}
-
-impl Upgrade {
-    /// Creates the state of a process that is not connected to another one.
-    pub(super) fn new(socket_path: Option<PathBuf>, settings_digest: u64) -> Upgrade {
-        Upgrade {
-            socket_path,
-            socket: None,
-            peer: None,
-            jobs_open_at_peer: HashSet::new(),
-            migrated_jobs: HashSet::new(),
-            settings_digest,
-            has_same_settings: false,
-            accepts_clients: false,
-        }
-    }
-
-    /// Returns whether all messages to the other process have been sent, or there is no other process.
-    pub(super) fn is_flushed(&self) -> bool {
-        self.peer.as_ref().is_none_or(Peer::is_flushed)
-    }
-
-    /// Returns whether this process accepts client connections.
-    pub(super) fn accepts_clients(&self) -> bool {
-        self.accepts_clients
-    }
-
-    /// Returns whether a job with this trace id is open at the other process.
-    pub(super) fn is_open_at_peer(&self, trace_id: &str) -> bool {
-        self.jobs_open_at_peer.contains(trace_id)
-    }
-
-    /// Records that the job with this trace id is no longer open at the other process.
-    pub(super) fn mark_closed_at_peer(&mut self, trace_id: &str) {
-        self.jobs_open_at_peer.remove(trace_id);
-    }
-
-    /// Records that the job with this trace id has migrated to the other process.
-    pub(super) fn mark_migrated(&mut self, trace_id: String) {
-        self.migrated_jobs.insert(trace_id);
-    }
-}
+use std::os::fd::AsFd;
+use std::path::Path;
 
 impl EventLoop {
     /// Starts as the successor of a running process, which serves clients until this one has the endpoint
@@ -110,10 +33,10 @@
         if state.draining {
             self.drain.start_inherited(self.clock.now());
         }
-        for trace_id in &state.open_jobs {
-            self.dispatch.job_started_elsewhere(trace_id);
+        for trace_id in state.open_jobs {
+            self.dispatch.job_started_elsewhere(&trace_id);
+            self.upgrade.mark_open_at_peer(trace_id);
         }
-        self.upgrade.jobs_open_at_peer.extend(state.open_jobs);
         let now = self.clock.now();
         for JobEnd { trace_id, status } in state.ended_jobs {
             self.dispatch.job_started_elsewhere(&trace_id);
@@ -131,7 +54,7 @@
     fn attach_peer(&mut self, mut stream: UnixStream, link: Link) -> io::Result<()> {
         let interest = Interest::READABLE | Interest::WRITABLE;
         self.poll.registry().register(&mut stream, UPGRADE_PEER, interest)?;
-        self.upgrade.peer = Some(Peer { stream, link, received_descriptors: VecDeque::new() });
+        self.upgrade.peer = Some(Peer::new(stream, link));
         self.divide_descriptors();
         Ok(())
     }
@@ -232,26 +155,32 @@
 
     /// Sends a message to the other process; `message` is only called if there is one.
     pub(super) fn send_to_peer(&mut self, message: impl FnOnce() -> Message) {
-        if let Some(peer) = &mut self.upgrade.peer {
+        if let Some(peer) = self.upgrade.peer.as_mut().filter(|peer| peer.can_send()) {
             peer.link.send(&message());
             self.flush_peer();
         }
     }
 
-    /// Writes pending messages to the other process, as far as its socket accepts them. Treats the other
-    /// process as exited if the connection has failed or too many bytes are queued.
+    /// Writes pending messages to the other process, as far as its socket accepts them. Shuts the link down if
+    /// it has failed or too many bytes are queued. The messages that have arrived are then read in this
+    /// iteration or the next one, because this method is also called while such a message is being handled.
     fn flush_peer(&mut self) {
         let Some(peer) = &mut self.upgrade.peer else { return };
         while !peer.is_flushed() {
             match net::write(&mut peer.stream, &mut peer.link.write_buffer) {
                 WriteResult::Written(_) => {}
-                WriteResult::WouldBlock if !peer.link.is_stuck() => return,
-                WriteResult::WouldBlock | WriteResult::Failed => return self.handle_peer_exit(),
+                WriteResult::WouldBlock if !peer.link.is_write_stuck() => return,
+                WriteResult::WouldBlock | WriteResult::Failed => {
+                    let unsent_bytes = peer.link.write_buffer.unsent().len();
+                    log::info!("upgrade link shut down: unsent_bytes={unsent_bytes}");
+                    return peer.shut_down();
+                }
             }
         }
     }
 
-    /// Writes pending messages to the other process, and reads and handles its messages.
+    /// Writes pending messages to the other process, and reads and handles its messages. All messages that
+    /// have arrived are handled before the other process is treated as exited.
     pub(super) fn handle_peer_readiness(&mut self) {
         self.flush_peer();
         // `self.read_buffer` cannot be used: handling a message with a migrated client connection reads that
@@ -261,11 +190,11 @@
             match receive_with_descriptors(&peer.stream, &mut buffer, &mut peer.received_descriptors) {
                 Ok(length) if length > 0 => {
                     let messages = peer.link.receive(&buffer[..length]);
-                    let is_stuck = peer.link.is_stuck();
+                    let is_unreadable = peer.link.is_message_too_long();
                     for message in messages {
                         self.handle_peer_message(message);
                     }
-                    if is_stuck {
+                    if is_unreadable {
                         self.handle_peer_exit();
                     }
                 }
@@ -302,7 +231,7 @@
             }
             Message::JobStarted(trace_id) => {
                 self.dispatch.job_started_elsewhere(&trace_id);
-                self.upgrade.jobs_open_at_peer.insert(trace_id);
+                self.upgrade.mark_open_at_peer(trace_id);
             }
             Message::JobEnded(JobEnd { trace_id, status }) => {
                 self.dispatch.job_ended_elsewhere(&trace_id, status, now);
@@ -329,7 +258,7 @@
         let Some(mut peer) = self.upgrade.peer.take() else { return };
         let _ = self.poll.registry().deregister(&mut peer.stream); // `peer` closes the socket when dropped
         let now = self.clock.now();
-        for trace_id in std::mem::take(&mut self.upgrade.jobs_open_at_peer) {
+        for trace_id in self.upgrade.take_jobs_open_at_peer() {
             // The job ended with that process. Deferred jobs that depend on it would otherwise wait for it in
             // vain.
             self.dispatch.job_ended_elsewhere(&trace_id, JobEndStatus::Disconnected, now);
@@ -337,7 +266,6 @@
         if self.drain.is_shutting_down() {
             self.dispatch.close_deferral();
         }
-        self.upgrade.migrated_jobs.clear();
         self.drain.set_successor(false);
         if let Some(deadline) = self.drain.shutdown_deadline() {
             self.dispatch.set_shutdown_deadline(deadline);
--- a/crates/node/src/upgrade_protocol/link.rs
+++ b/crates/node/src/upgrade_protocol/link.rs
@@ -42,9 +42,13 @@
         messages
     }
 
-    /// Returns whether too many bytes are queued, because the other process has stopped reading, or whether
-    /// it has sent too many bytes without the end of a line.
-    pub fn is_stuck(&self) -> bool {
-        self.write_buffer.unsent().len().max(self.inbox.len()) > MAX_QUEUED_BYTES
+    /// Returns whether too many bytes are queued for sending, because the other process has stopped reading.
+    pub fn is_write_stuck(&self) -> bool {
+        self.write_buffer.unsent().len() > MAX_QUEUED_BYTES
+    }
+
+    /// Returns whether the other process has sent too many bytes without the end of a line.
+    pub fn is_message_too_long(&self) -> bool {
+        self.inbox.len() > MAX_QUEUED_BYTES
     }
 }
--- a/crates/node/src/upgrade_protocol/tests.rs
+++ b/crates/node/src/upgrade_protocol/tests.rs
@@ -97,12 +97,13 @@
 #[test]
 fn link_is_stuck_after_unread_output_or_endless_line() {
     let (mut unread, mut endless) = (Link::default(), Link::default());
-    assert!(!unread.is_stuck() && endless.receive(b"{").is_empty());
+    assert!(!unread.is_write_stuck() && endless.receive(b"{").is_empty());
     for _ in 0..3 {
         unread.send(&Message::JobStatus("x".repeat(MAX_QUEUED_BYTES / 2)));
     }
     endless.receive(&vec![b'x'; MAX_QUEUED_BYTES]);
-    assert!(unread.is_stuck() && endless.is_stuck());
+    assert!(unread.is_write_stuck() && endless.is_message_too_long());
+    assert!(!unread.is_message_too_long() && !endless.is_write_stuck());
 }
 
 #[test]
--- a/crates/node/tests/serve/harness.rs
+++ b/crates/node/tests/serve/harness.rs
@@ -2,7 +2,7 @@
 
 use super::connection::{Connection, Message};
 use std::cell::RefCell;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
@@ -11,6 +11,9 @@
 /// Limit of a read or wait. Every step takes far less, so a test that reaches the limit has failed.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Interval at which a listener is checked for a connection.
+const ACCEPT_INTERVAL: Duration = Duration::from_micros(200);
+
 /// The response of a worker that accepts a job.
 pub const ACCEPTED: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
 
@@ -257,12 +260,12 @@
 
     /// Accepts the next connection to a worker.
     pub fn accept_worker_connection(&self) -> Connection {
-        Connection::new(self.worker_listener.accept().unwrap().0)
+        Connection::new(accept(&self.worker_listener))
     }
 
     /// Accepts the next connection to discovery.
     pub fn accept_discovery_connection(&self) -> Connection {
-        Connection::new(self.discovery_listener.accept().unwrap().0)
+        Connection::new(accept(&self.discovery_listener))
     }
 
     /// Connects to the scheduler as a client or a worker.
@@ -340,6 +343,23 @@
     }
 }
 
+/// Accepts the next connection, within [`TEST_TIMEOUT`].
+fn accept(listener: &TcpListener) -> TcpStream {
+    let deadline = Instant::now() + TEST_TIMEOUT;
+    listener.set_nonblocking(true).unwrap();
+    let stream = loop {
+        match listener.accept() {
+            Ok((stream, _)) => break stream,
+            Err(error) => assert_eq!(error.kind(), ErrorKind::WouldBlock),
+        }
+        assert!(Instant::now() < deadline, "no connection arrived");
+        std::thread::sleep(ACCEPT_INTERVAL);
+    };
+    listener.set_nonblocking(false).unwrap();
+    stream.set_nonblocking(false).unwrap();
+    stream
+}
+
 /// Reads the log up to this event and returns the `address` field of the event.
 fn logged_address(log: &mut BufReader<ChildStderr>, event: &str) -> SocketAddr {
     let mut line = String::new();
--- /dev/null
+++ b/crates/node/tests/serve/upgrade_link.rs
@@ -0,0 +1,64 @@
+//! The link between the two processes of an upgrade when the predecessor exits or stops reading. A test plays
+//! the predecessor, so that the order of events is certain.
+
+use super::predecessor::Predecessor;
+use super::*;
+
+/// Accepts the next connection to a worker and accepts the job on it.
+fn accept_job(scheduler: &Scheduler) -> Connection {
+    let mut worker = scheduler.accept_worker_connection();
+    worker.read_message();
+    worker.send(ACCEPTED);
+    worker
+}
+
+/// Clients must not be lost with the link: the successor writes to the link as it adopts the first connection,
+/// and the predecessor has exited by then.
+#[test]
+fn connections_that_arrived_before_a_failed_write_are_adopted() {
+    let predecessor = Predecessor::listen(40);
+    let (mut successor, link) = predecessor.start_successor("link-failed-write", &[]);
+    let _watch = successor.send_complete_list();
+    successor.wait_for_log("accepting clients: role=successor");
+    successor.signal("-STOP");
+    let mut clients = Vec::new();
+    for n in 0..3 {
+        let (client, accepted) = predecessor.accept_client();
+        let mut client = Connection::new(client);
+        client.send_job(&format!("t{n}"));
+        link.migrate(accepted, None);
+        clients.push(client);
+    }
+    drop(link);
+    successor.signal("-CONT");
+    successor.wait_for_log("upgrade peer exited");
+    let _workers: Vec<Connection> = clients.iter().map(|_| accept_job(&successor)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        successor.finish_job(&format!("t{n}"));
+        assert_eq!(client.read_message().line, "HTTP/1.1 200 OK");
+    }
+}
+
+/// A predecessor that no longer reads must not stop its successor, which drops the link at some point.
+#[test]
+fn successor_serves_alone_when_the_predecessor_stops_reading() {
+    const UPDATE_BYTES: usize = 60_000;
+    const QUEUE_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+    let predecessor = Predecessor::listen(42);
+    let (mut successor, mut link) = predecessor.start_successor("link-stuck", &["t1"]);
+    let _watch = successor.send_complete_list();
+    successor.wait_for_log("accepting clients: role=successor");
+    let result = "x".repeat(UPDATE_BYTES);
+    let update = format!(r#"{{"id":"t1","from":"s-1","state":"done","result":"{result}"}}"#);
+    for _ in 0..=QUEUE_LIMIT_BYTES / UPDATE_BYTES + 10 {
+        successor.send_job_status(&update);
+    }
+    successor.wait_for_log("upgrade link shut down: unsent_bytes=");
+    successor.wait_for_log("upgrade peer exited");
+    assert!(link.is_closed());
+    let mut client = successor.connect();
+    client.send_job("t2");
+    let _worker = accept_job(&successor);
+    successor.finish_job("t2");
+    assert_eq!(client.read_message().line, "HTTP/1.1 200 OK");
+}
