Keep a result that is forwarded to a predecessor until it has surely been read

Callers saw: a job that ended during an upgrade got no answer until its deadline, and could be run again, although its worker had reported the result and got 200 for it.

Cause: the successor forwards the status update of a job that is open at the predecessor. If the predecessor migrates the job and exits before it reads the update, the result is lost: it sits in the predecessor's unread input.

Evidence: the new test plays a predecessor that migrates a job without having read its result.

Change: the successor keeps forwarded results of jobs that are open at the other process and applies one when it adopts the job; a job whose result the predecessor has read does not migrate. They are dropped as the job's id is released or the other process ends. Other states are not kept: whether the predecessor has read them cannot be known, and applying one twice could end a newer attempt.

--- a/crates/node/src/event_loop/downstreams.rs
+++ b/crates/node/src/event_loop/downstreams.rs
@@ -6,7 +6,7 @@
 use crate::dispatch::JobNotAccepted;
 use crate::http;
 use crate::intake::{self, IncomingRequest, Job};
-use crate::job_status::JobStatusUpdate;
+use crate::job_status::{JobStatus, JobStatusUpdate};
 use crate::upgrade_protocol::Message;
 use postusher_decision::JobId;
 
@@ -125,8 +125,12 @@
         match update {
             Some(update) if self.dispatch.has_job(&update.trace_id) => self.dispatch.job_status(update, now),
             // A worker's connection may lead to either process, so the job may be open in the other one.
-            Some(_) => {
-                self.send_to_peer(|| Message::JobStatus(String::from_utf8_lossy(body).into_owned()));
+            Some(update) => {
+                let body = String::from_utf8_lossy(body).into_owned();
+                if matches!(update.status, JobStatus::Done(_)) {
+                    self.upgrade.keep_forwarded_result(&update.trace_id, &body);
+                }
+                self.send_to_peer(|| Message::JobStatus(body));
             }
             None => {}
         }
--- a/crates/node/src/event_loop/migration.rs
+++ b/crates/node/src/event_loop/migration.rs
@@ -7,6 +7,7 @@
 use crate::downstream;
 use crate::http::Decoder;
 use crate::intake::{self, IncomingRequest};
+use crate::job_status::JobStatusUpdate;
 use crate::upgrade_protocol::{Message, MigratedConnection, MigratedJob};
 use mio::net::TcpStream;
 use std::os::fd::AsFd;
@@ -117,7 +118,7 @@
             log::warn!("job migration failed: reason=\"request not readable\"");
             return self.reply_with_status(id, 502, now);
         };
-        self.upgrade.mark_closed_at_peer(&job.trace_id);
+        let forwarded_result = self.upgrade.mark_closed_at_peer(&job.trace_id);
         let mut attempts = Vec::with_capacity(migrated.attempts.len());
         for attempt in migrated.attempts {
             attempts.push((self.endpoints.id(&attempt.worker), attempt));
@@ -126,5 +127,10 @@
             Ok(job) => self.set_waiting_job(id, job),
             Err(error) => self.reply_not_accepted(id, &error, now),
         }
+        // The other process has not read this result: it does not migrate a job whose result it has.
+        let result = forwarded_result.and_then(|body| JobStatusUpdate::read(body.as_bytes(), &self.site));
+        if let Some(result) = result {
+            self.dispatch.job_status(result, now);
+        }
     }
 }
--- a/crates/node/src/event_loop/upgrade.rs
+++ b/crates/node/src/event_loop/upgrade.rs
@@ -236,7 +236,9 @@
             Message::JobEnded(JobEnd { trace_id, status }) => {
                 self.dispatch.job_ended_elsewhere(&trace_id, status, now);
             }
-            Message::JobIdReleased(trace_id) => self.upgrade.mark_closed_at_peer(&trace_id),
+            Message::JobIdReleased(trace_id) => {
+                self.upgrade.mark_closed_at_peer(&trace_id);
+            }
             Message::State(_) => log::warn!("upgrade message ignored: message=state"),
         }
     }
--- a/crates/node/src/event_loop/upgrade_state.rs
+++ b/crates/node/src/event_loop/upgrade_state.rs
@@ -2,7 +2,7 @@
 
 use crate::upgrade_protocol::Link;
 use mio::net::{UnixListener, UnixStream};
-use std::collections::{HashSet, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::Shutdown;
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
@@ -53,6 +53,9 @@
     pub(super) peer: Option<Peer>,
     /// Trace ids of jobs that are open at the other process.
     jobs_open_at_peer: HashSet<String>,
+    /// Results of jobs that are open at the other process, as the bodies of the job status updates that were
+    /// forwarded to it, by trace id.
+    forwarded_results: HashMap<String, String>,
     /// Trace ids of jobs that have migrated to the other process.
     pub(super) migrated_jobs: HashSet<String>,
     /// Digest of the settings of this process.
@@ -71,6 +74,7 @@
             socket: None,
             peer: None,
             jobs_open_at_peer: HashSet::new(),
+            forwarded_results: HashMap::new(),
             migrated_jobs: HashSet::new(),
             settings_digest,
             has_same_settings: false,
@@ -104,13 +108,24 @@
         self.jobs_open_at_peer.insert(trace_id);
     }
 
-    /// Records that the job with this trace id is no longer open at the other process.
-    pub(super) fn mark_closed_at_peer(&mut self, trace_id: &str) {
+    /// Records that the job with this trace id is no longer open at the other process. Returns its result as
+    /// the body of a job status update, if one was forwarded to that process.
+    pub(super) fn mark_closed_at_peer(&mut self, trace_id: &str) -> Option<String> {
         self.jobs_open_at_peer.remove(trace_id);
+        self.forwarded_results.remove(trace_id)
+    }
+
+    /// Keeps the result of a job that is open at the other process, as the body of the job status update that
+    /// is forwarded to it. That process may migrate the job and exit before it reads the update.
+    pub(super) fn keep_forwarded_result(&mut self, trace_id: &str, body: &str) {
+        if self.is_open_at_peer(trace_id) {
+            self.forwarded_results.insert(trace_id.into(), body.into());
+        }
     }
 
     /// Forgets the jobs of the other process. Returns the trace ids of those that are open there.
     pub(super) fn take_jobs_open_at_peer(&mut self) -> HashSet<String> {
+        self.forwarded_results.clear();
         self.migrated_jobs.clear();
         std::mem::take(&mut self.jobs_open_at_peer)
     }
--- a/crates/node/tests/serve/predecessor.rs
+++ b/crates/node/tests/serve/predecessor.rs
@@ -100,3 +100,13 @@
         self.stream.write_all(b"\n").is_err()
     }
 }
+
+/// Returns a job in the form in which it migrates. Its worker `s-1` has accepted the only attempt.
+pub fn migrated_job(trace_id: &str) -> Value {
+    let request = format!(
+        "POST /render/x?y=1 HTTP/1.1\r\nX-Trace-Id: {trace_id}\r\nX-Qos: render\r\nX-Expires-In: 20000m\r\n\
+         Content-Length: 2\r\n\r\nab"
+    );
+    let attempt = json!({"target": "s-1", "age": 5.0, "out": true, "ran": true});
+    json!({"request": request.as_bytes(), "last": false, "legs": [attempt]})
+}
--- a/crates/node/tests/serve/upgrade_link.rs
+++ b/crates/node/tests/serve/upgrade_link.rs
@@ -1,7 +1,7 @@
 //! The link between the two processes of an upgrade when the predecessor exits or stops reading. A test plays
 //! the predecessor, so that the order of events is certain.
 
-use super::predecessor::Predecessor;
+use super::predecessor::{migrated_job, Predecessor};
 use super::*;
 
 /// Accepts the next connection to a worker and accepts the job on it.
@@ -39,6 +39,22 @@
     }
 }
 
+/// A result must not be lost with the predecessor: it arrives at the successor, which forwards it while the
+/// predecessor migrates the job, and the predecessor exits before it has read the result.
+#[test]
+fn result_that_the_predecessor_has_not_read_reaches_the_client() {
+    let predecessor = Predecessor::listen(41);
+    let (mut successor, link) = predecessor.start_successor("link-unread-result", &["t1"]);
+    let _watch = successor.send_complete_list();
+    successor.wait_for_log("accepting clients: role=successor");
+    let (client, accepted) = predecessor.accept_client();
+    successor.finish_job("t1");
+    link.migrate(accepted, Some(migrated_job("t1")));
+    drop(link);
+    let Message { line, body, .. } = Connection::new(client).read_message();
+    assert_eq!((line.as_str(), body.as_str()), ("HTTP/1.1 200 OK", "r"));
+}
+
 /// A predecessor that no longer reads must not stop its successor, which drops the link at some point.
 #[test]
 fn successor_serves_alone_when_the_predecessor_stops_reading() {
