Decide readiness by the list that has arrived, not by the next decision

Callers saw: /up said 503 although discovery had confirmed the list, for up to 0.4 ms and mostly on busy machines; whoever checks just then takes the scheduler for one that is not ready.

Cause: the loop answers /up as it reads it, and asked the decision module, which learns of a list only at the end of the iteration. The next call to discovery, by which others see that the list has arrived, goes out before that. A client that is accepted in the same iteration, as happens right after a process starts to accept clients, was answered by the old state.

Change: the answer counts the updates of the list that wait for the next decision. A job that arrives now is decided after them, so the answer says what such a job will find. The rule stays in the decision module (ListStatus::after), where it also serves the updates themselves.

--- a/crates/decision/src/dispatcher.rs
+++ b/crates/decision/src/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use crate::estimators::{Budget, MedianWindow, QuotaBalance, RandomGenerator, TokenBucket};
 use crate::id_map::IdMap;
-use crate::interface::{Action, Class, Event, FreeCapacity, JobId, Micros, Settings, WorkerId};
+use crate::interface::{Action, Class, Event, FreeCapacity, JobId, ListUpdate, Micros, Settings, WorkerId};
 use crate::policy::{EndpointListState, PlacementOverride, MAX_SAVED_RETRIES};
 use crate::state::{
     Affinity, DurationEstimates, Features, ForeignLoadEstimates, KeyQueues, PendingJob, QueueingEstimates,
@@ -94,6 +94,11 @@
         self.endpoint_list.is_current(now)
     }
 
+    /// Returns whether the endpoint list is current at time `now` once `updates` have been handled.
+    pub fn is_list_current_after(&self, updates: impl Iterator<Item = ListUpdate>, now: Micros) -> bool {
+        self.endpoint_list.is_current_after(updates, self.settings.drain_grace, now)
+    }
+
     /// Returns, by customer number, the number of jobs sent over the quota whose debt was written off. The
     /// current debt is not included. Jobs of customers that are not in the settings are not counted.
     pub fn forgiven_quota_debt(&self) -> impl Iterator<Item = u64> + '_ {
--- a/crates/decision/src/policy/endpoint_list.rs
+++ b/crates/decision/src/policy/endpoint_list.rs
@@ -46,6 +46,33 @@
     },
 }
 
+impl ListStatus {
+    /// Returns whether jobs may be placed by the list at time `now`.
+    fn is_current(self, now: Micros) -> bool {
+        match self {
+            ListStatus::Confirmed => true,
+            ListStatus::Unconfirmed { since } => now >= since + UNCONFIRMED_LIMIT_US,
+            ListStatus::Superseded { until } => now < until,
+        }
+    }
+
+    /// Returns the status after an update.
+    fn after(self, update: ListUpdate, drain_grace: Micros) -> ListStatus {
+        match update {
+            ListUpdate::AnswerStarted { at } => {
+                let until = match self {
+                    ListStatus::Confirmed => at + drain_grace / SUPERSEDED_LIST_DIVISOR,
+                    ListStatus::Unconfirmed { .. } => 0,
+                    ListStatus::Superseded { until } => until,
+                };
+                ListStatus::Superseded { until }
+            }
+            ListUpdate::Changes | ListUpdate::Complete => ListStatus::Confirmed,
+            ListUpdate::Cached | ListUpdate::Failed => self,
+        }
+    }
+}
+
 /// The status of the endpoint list and of the calls to discovery.
 #[derive(Default)]
 pub struct EndpointListState {
@@ -66,26 +93,19 @@
 
     /// Returns whether jobs may be placed by the list at time `now`.
     pub fn is_current(&self, now: Micros) -> bool {
-        match self.status {
-            ListStatus::Confirmed => true,
-            ListStatus::Unconfirmed { since } => now >= since + UNCONFIRMED_LIMIT_US,
-            ListStatus::Superseded { until } => now < until,
-        }
+        self.status.is_current(now)
     }
 
-    fn confirm(&mut self) {
-        self.failures = 0;
-        self.status = ListStatus::Confirmed;
-    }
-
-    /// Records that discovery started an answer at time `at` that has not been read yet.
-    fn mark_superseded(&mut self, at: Micros, drain_grace: Micros) {
-        let until = match self.status {
-            ListStatus::Confirmed => at + drain_grace / SUPERSEDED_LIST_DIVISOR,
-            ListStatus::Unconfirmed { .. } => 0,
-            ListStatus::Superseded { until } => until,
-        };
-        self.status = ListStatus::Superseded { until };
+    /// Returns whether jobs may be placed at time `now` by the list that results from `updates`, which have
+    /// not been applied yet.
+    pub fn is_current_after(
+        &self,
+        updates: impl Iterator<Item = ListUpdate>,
+        drain_grace: Micros,
+        now: Micros,
+    ) -> bool {
+        let status = updates.fold(self.status, |status, update| status.after(update, drain_grace));
+        status.is_current(now)
     }
 
     /// Removes a waiting job. Returns whether it was waiting.
@@ -103,13 +123,12 @@
         endpoints: Vec<Endpoint>,
         actions: &mut Vec<Action>,
     ) {
+        self.endpoint_list.status = self.endpoint_list.status.after(update, self.settings.drain_grace);
         match update {
-            ListUpdate::AnswerStarted { at } => {
-                return self.endpoint_list.mark_superseded(at, self.settings.drain_grace);
-            }
+            ListUpdate::AnswerStarted { .. } => return,
             ListUpdate::Failed => return self.list_call_failed(actions),
             ListUpdate::Cached => self.start_with_cached_list(actions),
-            ListUpdate::Changes | ListUpdate::Complete => self.endpoint_list.confirm(),
+            ListUpdate::Changes | ListUpdate::Complete => self.endpoint_list.failures = 0,
         }
         if update != ListUpdate::Changes {
             self.remove_unlisted(&endpoints);
--- a/crates/node/src/dispatch/mod.rs
+++ b/crates/node/src/dispatch/mod.rs
@@ -159,9 +159,14 @@
         self.events.push(Event::EndpointList { update, endpoints });
     }
 
-    /// Returns whether the endpoint list is recent enough for jobs to be sent by it.
+    /// Returns whether the endpoint list is recent enough for jobs to be sent by it. Updates that have not been
+    /// passed to the decision module yet count: a job that arrives now is decided after them.
     pub fn is_list_current(&self, now: Millis) -> bool {
-        self.dispatcher.is_list_current(micros_from_millis(now))
+        let updates = self.events.iter().filter_map(|event| match event {
+            Event::EndpointList { update, .. } => Some(*update),
+            _ => None,
+        });
+        self.dispatcher.is_list_current_after(updates, micros_from_millis(now))
     }
 
     /// Passes a change of the address of discovery to the decision module.
--- a/crates/node/tests/serve/discovery.rs
+++ b/crates/node/tests/serve/discovery.rs
@@ -108,3 +108,19 @@
     client.send_job("t1");
     let _watch = scheduler.confirm_list();
 }
+
+/// Readiness follows the list that has arrived, not the next decision: the list and the readiness check arrive
+/// while the process is stopped, so that it handles both in one iteration of its event loop.
+#[test]
+fn process_is_ready_as_soon_as_it_has_read_its_list() {
+    let scheduler = Scheduler::without_list("ready-at-once", 1);
+    let mut discovery = scheduler.accept_discovery_connection();
+    assert!(discovery.read_message().line.contains("after=41&wait_ms=0 "));
+    assert!(!scheduler.is_ready());
+    scheduler.signal("-STOP");
+    discovery.send_ok(r#"{"version":41,"full":false,"servers":[]}"#);
+    let mut client = scheduler.connect();
+    client.send("GET /up HTTP/1.1\r\n\r\n");
+    scheduler.signal("-CONT");
+    assert_eq!(client.read_message().line, "HTTP/1.1 200 OK");
+}
