Send a waiting attempt on an abandoned connection that comes up first

Callers saw: a job waited for its own connection to a worker, for seconds, while another connection to the same worker was up and unused.

Cause: the connection of an attempt that is abandoned during its handshake stays, without a task, and becomes idle once established. The next attempt, begun before that, had opened a connection of its own. After a full backlog the system retries both handshakes in its own order: the timers of both lie in one slot if they were set within some 30 ms and are then run last first, so that the second connection mostly came up first and the fault was seldom seen. With more time between the two the first one wins, and the test's worker, which reads the first connection, gets nothing for 30 s.

Change: a connection that comes up without a task, at the worker's current address, takes over the attempt that has waited longest for another connection to that worker; check_send decides on it as on any other.

Result: the new test fails before and passes after the change.

--- a/crates/node/src/event_loop/sockets.rs
+++ b/crates/node/src/event_loop/sockets.rs
@@ -121,6 +121,7 @@
             if let Some(Task::Attempt(..)) = connection.task() {
                 self.set_deadline(id, now + ACCEPTANCE_TIMEOUT); // replaces the connect timeout
             }
+            self.take_over_waiting_attempt(id, now);
             self.begin_attempt(id);
             self.release_upstream(id);
         }
--- a/crates/node/src/event_loop/upstreams.rs
+++ b/crates/node/src/event_loop/upstreams.rs
@@ -70,6 +70,43 @@
         self.handle_task_end(task, TaskOutcome::Withheld, worker, now);
     }
 
+    /// Moves an attempt to a connection that has just been established and has no task, because its own attempt
+    /// was abandoned in the meantime. The attempt is the one that has waited longest for another connection to
+    /// the same worker, which may be established much later.
+    pub(super) fn take_over_waiting_attempt(&mut self, id: ConnectionId, now: Millis) {
+        let Some(Socket { role: Role::Upstream(connection), stream, .. }) = self.sockets.get(id) else {
+            return;
+        };
+        let worker = connection.worker;
+        let address = stream.peer_addr().ok();
+        let leads_to_worker = self.endpoints.get(worker).is_some_and(|listed| Some(listed.addr) == address);
+        if !connection.is_idle() || !leads_to_worker {
+            return;
+        }
+        let Some((job, attempt, waiting_id)) = self.longest_waiting_attempt(worker) else { return };
+        if let Some(Socket { role: Role::Upstream(waiting), .. }) = self.socket(waiting_id) {
+            waiting.abandon_task();
+        }
+        if let Some(Socket { role: Role::Upstream(connection), .. }) = self.socket(id) {
+            connection.start(Task::Attempt(job, attempt));
+        }
+        self.pool.attempts.insert((job, attempt), id);
+        self.set_deadline(id, now + ACCEPTANCE_TIMEOUT);
+    }
+
+    /// Returns the attempt that has waited longest for its connection to a worker to be established, and that
+    /// connection.
+    fn longest_waiting_attempt(&self, worker: WorkerId) -> Option<(JobId, AttemptId, ConnectionId)> {
+        let waiting = self.pool.attempts.iter().filter(|(_, id)| {
+            self.sockets.get(**id).is_some_and(|socket| match &socket.role {
+                Role::Upstream(connection) => socket.is_connecting && connection.worker == worker,
+                _ => false,
+            })
+        });
+        let ((job, attempt), id) = waiting.min_by_key(|(_, id)| id.serial)?;
+        Some((*job, *attempt, *id))
+    }
+
     /// Assigns a task to a connection to a worker. Returns `None` if no connection is available; the task has
     /// then ended as [`TaskOutcome::NotSent`].
     fn start_task(&mut self, worker: WorkerId, task: Task, now: Millis) -> Option<ConnectionId> {
--- a/crates/node/tests/serve/late_connections.rs
+++ b/crates/node/tests/serve/late_connections.rs
@@ -60,3 +60,21 @@
     while !scheduler.admin_request("GET /stats").body.contains(r#""in_flight":1"#) {}
     assert!(slow_listener.accept_waiting().read_message().head.contains("X-Trace-Id: t2\r\n"));
 }
+
+/// An attempt must not wait for its own connection while another one to its worker is up and unused. The pause
+/// is longer than the granularity of the system's timers, so that the abandoned connection comes up first.
+#[test]
+fn attempt_moves_to_an_abandoned_connection_that_comes_up_first() {
+    let (scheduler, slow_listener, client, _discovery) = start_with_late_connection("late-abandoned");
+    drop(client);
+    while !scheduler.admin_request("GET /stats").body.contains(r#""in_flight":0"#) {}
+    std::thread::sleep(Duration::from_millis(300));
+    let mut next_client = scheduler.connect();
+    next_client.send_job("t2");
+    while !scheduler.admin_request("GET /stats").body.contains(r#""in_flight":1"#) {}
+    let mut worker = slow_listener.accept_waiting();
+    assert!(worker.read_message().head.contains("X-Trace-Id: t2\r\n"));
+    worker.send(ACCEPTED);
+    scheduler.finish_job("t2");
+    assert_eq!(next_client.read_message().line, "HTTP/1.1 200 OK");
+}
