Read what a peer has sent before a failed write closes its connection

Callers saw: a result that a worker had reported just before its connection was reset never reached the client.

Cause: as with the link of an upgrade, a write error closed a connection at once, together with input that had arrived and was not read yet: status updates of a worker, a worker's early answer to a request that is still being sent, a member's state.

Evidence: in the new test a worker sends two updates of 60 kB, the second with the result, and resets its connection while the scheduler is stopped. Before the change, writing the answer to the first one failed and the result was never read (30 s without an answer).

Change: after a failed write a connection is read to the end of what has arrived, in the next iteration, and closed then. Nothing of a client is handled any more, as it has gone. An upstream connection on which no byte of the request was written is still closed at once: whatever has arrived on it answers no request.

Result: the test fails before and passes after the change.

--- a/crates/node/src/event_loop/downstreams.rs
+++ b/crates/node/src/event_loop/downstreams.rs
@@ -36,7 +36,15 @@
     /// Handles all complete requests of a connection, as long as its write buffer has room for the answers.
     pub(super) fn handle_requests(&mut self, id: ConnectionId, now: Millis) {
         loop {
-            let Some(Socket { role: Role::Downstream(connection, _), .. }) = self.socket(id) else { return };
+            let Some(Socket { role: Role::Downstream(connection, _), has_failed_write, .. }) =
+                self.socket(id)
+            else {
+                return;
+            };
+            // The client has gone, while a worker's status updates count although their answers cannot be sent.
+            if *has_failed_write && !connection.carries_job_status {
+                return;
+            }
             let Some(next) = connection.next() else { return };
             match next {
                 Ok(message) => {
--- a/crates/node/src/event_loop/transfer.rs
+++ b/crates/node/src/event_loop/transfer.rs
@@ -35,6 +35,10 @@
         let read_stop = self.read(id);
         self.flush(id);
         match read_stop {
+            // Everything that the peer had sent before the write failed is handled.
+            ReadStop::WouldBlock | ReadStop::Paused if self.sockets.has_failed_write(id) => {
+                return self.handle_disconnect(id);
+            }
             ReadStop::WouldBlock => {}
             ReadStop::Disconnected => return self.handle_disconnect(id),
             // Readiness is not reported again for the remaining bytes, so the next iteration reads them
@@ -117,18 +121,27 @@
         }
     }
 
-    /// Writes the contents of a connection's write buffer, as far as the socket accepts them.
+    /// Writes the contents of a connection's write buffer, as far as the socket accepts them. If the write
+    /// fails, the connection is closed once everything that its peer has already sent is read, such as a
+    /// worker's answer to a request that it has not read completely.
     pub(super) fn flush(&mut self, id: ConnectionId) {
         let now = self.clock.now();
-        while let Some(socket) = self.socket(id).filter(|socket| !socket.is_connecting) {
+        while let Some(socket) = self.socket(id).filter(|socket| socket.can_write()) {
+            let is_upstream = matches!(socket.role, Role::Upstream(_));
             let write_buffer = socket.role.write_buffer();
             if write_buffer.unsent().is_empty() {
                 break;
             }
+            let is_unsent_request = is_upstream && !write_buffer.is_partly_sent();
             match net::write(&mut socket.stream, write_buffer) {
                 WriteResult::Written(_) => {}
                 WriteResult::WouldBlock => return,
-                WriteResult::Failed => return self.handle_disconnect(id),
+                // No byte of the request has been sent, so nothing that has arrived can be its answer.
+                WriteResult::Failed if is_unsent_request => return self.handle_disconnect(id),
+                WriteResult::Failed => {
+                    socket.has_failed_write = true;
+                    return self.unfinished_reads.push(id);
+                }
             }
             let is_flushed = write_buffer.unsent().is_empty();
             match &mut socket.role {
--- a/crates/node/src/net/sockets.rs
+++ b/crates/node/src/net/sockets.rs
@@ -19,10 +19,19 @@
     pub is_connecting: bool,
     /// The peer has closed its sending direction; earlier bytes may still be unread.
     pub peer_closed: bool,
+    /// A write has failed, so nothing more is written; bytes that the peer sent before may still be unread.
+    pub has_failed_write: bool,
     /// Time at which the connection is checked for a timeout; infinity means never.
     pub deadline: Millis,
 }
 
+impl<R> Socket<R> {
+    /// Returns whether bytes can be written to the connection.
+    pub fn can_write(&self) -> bool {
+        !self.is_connecting && !self.has_failed_write
+    }
+}
+
 /// All open connections. The poll token of a connection is the slot of its id.
 pub struct Sockets<R> {
     slots: Slab<Socket<R>>,
@@ -52,7 +61,15 @@
         let id = ConnectionId { slot: entry.key(), serial: self.opened_count };
         let interest = Interest::READABLE | Interest::WRITABLE;
         registry.register(&mut stream, Token(id.slot), interest)?;
-        entry.insert(Socket { stream, id, role, is_connecting, peer_closed: false, deadline: f64::INFINITY });
+        entry.insert(Socket {
+            stream,
+            id,
+            role,
+            is_connecting,
+            peer_closed: false,
+            has_failed_write: false,
+            deadline: f64::INFINITY,
+        });
         Ok(id)
     }
 
@@ -66,6 +83,11 @@
         self.slots.get_mut(id.slot).filter(|socket| socket.id == id)
     }
 
+    /// Returns whether a write to an open connection has failed.
+    pub fn has_failed_write(&self, id: ConnectionId) -> bool {
+        self.get(id).is_some_and(|socket| socket.has_failed_write)
+    }
+
     /// Returns the connection with the given poll token, if it is still open.
     pub fn at_token(&self, token: Token) -> Option<&Socket<R>> {
         self.slots.get(token.0)
--- a/crates/node/tests/serve/closes.rs
+++ b/crates/node/tests/serve/closes.rs
@@ -104,3 +104,42 @@
     client.send_job("t1");
     scheduler.accept_worker_connection().read_message();
 }
+
+/// A worker that reports a result and resets its connection must not take the result with it: the answer to
+/// its previous update can no longer be written by the time the result is read.
+#[test]
+fn result_before_a_reset_of_the_workers_connection_is_served() {
+    const PADDING_BYTES: usize = 60_000;
+    const WARM_UP_UPDATES: usize = 100;
+    let status_request = |update: &str| {
+        format!("POST /_jobs/news HTTP/1.1\r\nContent-Length: {}\r\n\r\n{update}", update.len())
+    };
+    let scheduler = Scheduler::start("status-then-reset");
+    let mut client = scheduler.connect();
+    client.send_job("t1");
+    let mut worker = scheduler.accept_worker_connection();
+    worker.read_message();
+    worker.send(ACCEPTED);
+    let padding = "x".repeat(PADDING_BYTES);
+    let mut status = scheduler.connect();
+    // The system enlarges the receive window, so that both updates arrive while the process is stopped.
+    for _ in 0..WARM_UP_UPDATES {
+        status.send(&status_request(&format!(
+            r#"{{"id":"t0","from":"s-1","state":"started","padding":"{padding}"}}"#
+        )));
+        assert_eq!(status.read_message().line, "HTTP/1.1 200 OK");
+    }
+    scheduler.signal("-STOP");
+    let running =
+        format!(r#"{{"id":"t1","from":"s-1","state":"running","share":0.1,"padding":"{padding}"}}"#);
+    let done = format!(r#"{{"id":"t1","from":"s-1","state":"done","result":"r","padding":"{padding}"}}"#);
+    for update in [running, done] {
+        status.send(&status_request(&update));
+    }
+    std::thread::sleep(Duration::from_millis(50));
+    let socket = socket2::SockRef::from(status.reader.get_ref());
+    socket.set_linger(Some(Duration::ZERO)).unwrap();
+    drop(status);
+    scheduler.signal("-CONT");
+    assert_eq!(client.read_message().line, "HTTP/1.1 200 OK");
+}
