Reject partial requests of a shutdown before their own timeouts apply

Callers saw: a client whose request was cut off by a shutdown got 408, which blames it, instead of 503, which sends it to another scheduler (partial_request_at_the_shutdown_limit_is_rejected, seen once).

Cause: an iteration that runs late, past both the shutdown limit and the timeout of the request, handled the timeouts first.

Evidence: the new test stops the process across both limits; before the change it answered 408 each time. The one failure in the field is explained by this order and a delay of the process of 0.4 s; it was not traced itself.

Change: partial requests are rejected for the shutdown before timeouts are handled.

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -269,6 +269,11 @@
 
     /// Runs all timers and periodic tasks that are due at `now`.
     fn run_timers(&mut self, now: Millis) {
+        // Before the timeouts of requests, as a client whose request is cut off by the shutdown is to retry it
+        // at another scheduler.
+        if self.drain.is_past_deadline(now) {
+            self.reject_partial_requests(now);
+        }
         while let Some(id) = self.timers.pop_expired(now) {
             self.handle_deadline(id, now);
         }
@@ -277,9 +282,6 @@
         if self.drain.closes_idle(now) {
             self.close_idle_downstreams(now);
         }
-        if self.drain.is_past_deadline(now) {
-            self.reject_partial_requests(now);
-        }
         if now >= self.counters_due_at {
             self.log_counters(CounterOccasion::Periodic);
             self.counters_due_at = now + COUNTERS_INTERVAL;
--- a/crates/node/tests/serve/shutdown.rs
+++ b/crates/node/tests/serve/shutdown.rs
@@ -74,6 +74,26 @@
     assert_clean_exit(scheduler);
 }
 
+/// A delay of the process must not turn the rejection, which tells the client to retry elsewhere, into the
+/// timeout of a slow client: the process is stopped across the shutdown limit and the timeout of the request.
+#[test]
+fn partial_request_at_a_delayed_shutdown_limit_is_rejected() {
+    let (mut scheduler, _client, _worker, _watch) = start_with_running_job("partial-at-delayed-limit");
+    scheduler.signal("-TERM");
+    scheduler.wait_for_log("shutdown started: unanswered_jobs=1");
+    std::thread::sleep(Duration::from_millis(1_500));
+    let mut partial = scheduler.connect();
+    partial.send("POST /render HTTP/1.1\r\nX-Trace-Id: t2\r\nContent-Le");
+    std::thread::sleep(Duration::from_millis(300));
+    // 1.8 s after SIGTERM. The limit comes after 3.6 s, the timeout of the request after 4.0 s.
+    scheduler.signal("-STOP");
+    std::thread::sleep(Duration::from_millis(3_000));
+    scheduler.signal("-CONT");
+    assert_eq!(partial.read_message().line, "HTTP/1.1 503 Service Unavailable");
+    scheduler.finish_job("t1");
+    assert_clean_exit(scheduler);
+}
+
 #[test]
 fn pipelined_request_at_sigterm_is_served() {
     let (mut scheduler, mut client, worker, _watch) = start_with_running_job("pipelined");
