End the connect timeout of a standalone pool once the connection is established

Callers saw: a standalone pool answered 502 or 503 after connect-timeout (1 s by default) on a new connection to a worker that was only slower than that; an idempotent request was run at a second worker as well.

Cause: the deadline of a new connection stayed at the connect timeout, counted from the start of the attempt, until the first part of the answer's body.

Change: the request timeout replaces the connect timeout as the connection is established.

--- a/crates/node/src/direct/event_loop/attempts.rs
+++ b/crates/node/src/direct/event_loop/attempts.rs
@@ -59,6 +59,13 @@
         self.flush(id);
     }
 
+    /// Replaces the connect timeout of an attempt by the request timeout, as its connection is established.
+    pub(super) fn start_request_timeout(&mut self, id: ConnectionId) {
+        let Some(current) = self.upstream(id).and_then(|upstream| upstream.current_attempt) else { return };
+        let timeout = self.service.pool(current.request.pool).timeout;
+        self.set_deadline(id, self.clock.now() + timeout);
+    }
+
     /// Returns the most recently used idle connection to a worker, or opens a new one.
     ///
     /// # Errors
--- a/crates/node/src/direct/event_loop/connections.rs
+++ b/crates/node/src/direct/event_loop/connections.rs
@@ -213,9 +213,8 @@
                 self.reject_request(id, REQUEST_TIMEOUT);
             }
             // A downstream connection was idle for too long, or its client has not closed it after the last
-            // answer. An upstream connection was idle for too long, or no part of an answer's body has
-            // arrived for the request timeout of its pool. Until the first part on a new connection, the
-            // connect timeout applies instead, from the start of the attempt.
+            // answer. An upstream connection was idle for too long, was not established within the connect
+            // timeout of its pool, or no part of an answer's body has arrived for the request timeout.
             Role::Downstream(_) | Role::Upstream(_) => self.handle_disconnect(id),
         }
     }
--- a/crates/node/src/direct/event_loop/transfer.rs
+++ b/crates/node/src/direct/event_loop/transfer.rs
@@ -31,7 +31,10 @@
         let Some(socket) = self.sockets.get_mut(id) else { return };
         if socket.is_connecting {
             match net::connect_progress(&socket.stream) {
-                ConnectProgress::Connected => socket.is_connecting = false,
+                ConnectProgress::Connected => {
+                    socket.is_connecting = false;
+                    self.start_request_timeout(id);
+                }
                 ConnectProgress::Pending => return,
                 ConnectProgress::Failed => return self.handle_disconnect(id),
             }
--- a/crates/testbed/tests/direct/failures.rs
+++ b/crates/testbed/tests/direct/failures.rs
@@ -77,3 +77,16 @@
         assert_eq!(http_request(mgmt, "GET /nothing").await.unwrap().0, 404);
     });
 }
+
+/// The connect timeout, 1 s by default, does not apply to a worker that has accepted the connection.
+#[test]
+fn slow_answer_on_a_new_connection_is_awaited() {
+    block_on(async {
+        let mut pools = import_sample(&import_samples().join("apache-two-members")).unwrap();
+        let _mock_workers = start_mock_workers(&mut pools, |_| Duration::from_millis(2_200)).await;
+        let scheduler = Scheduler::start("slow-answer", &pools).await;
+        let response =
+            Client::new(scheduler.addr).request("POST /pay", &[("Host", "h")], b"abc").await.unwrap();
+        assert_eq!(response.status(), 200);
+    });
+}
