Pass on the end of an answer before the end of its worker connection is handled

Callers saw: a client that reads slowly got a truncated answer, without any sign of it where the answer ends with the connection.

Cause: while the client's write buffer is full, parts of the answer stay in the reader of the worker's connection. The worker's close was handled at once: an answer that ends with the connection counted as complete without these parts, one with a length as broken off.

Change: the close of a worker's connection is handled only once the client's connection has had room for all parts; the connection is driven again when it has.

--- a/crates/node/src/direct/event_loop/connections.rs
+++ b/crates/node/src/direct/event_loop/connections.rs
@@ -124,8 +124,12 @@
         }
     }
 
-    /// Handles the closing of a connection by its peer.
+    /// Handles the closing of a connection by its peer. The last parts of a worker's answer may still wait for
+    /// room in the write buffer of the client's connection; this method is then called again later.
     pub(super) fn handle_peer_close(&mut self, id: ConnectionId) {
+        if self.is_answer_held_back(id) {
+            return;
+        }
         let now = self.clock.now();
         if let Some(upstream) = self.upstream(id) {
             if let Some(current) = upstream.current_attempt {
--- a/crates/node/src/direct/event_loop/transfer.rs
+++ b/crates/node/src/direct/event_loop/transfer.rs
@@ -201,13 +201,22 @@
         }
     }
 
+    /// Returns whether parts of a worker's answer may be left that the client's connection has no room for. The
+    /// connection to the worker is driven again once it has.
+    pub(super) fn is_answer_held_back(&self, id: ConnectionId) -> bool {
+        let is_upstream = self.sockets.get(id).is_some_and(|socket| matches!(socket.role, Role::Upstream(_)));
+        let peer = self.peer_connection(id).and_then(|peer| self.sockets.get(peer));
+        is_upstream && peer.is_some_and(|peer| peer.role.is_write_buffer_full())
+    }
+
     fn handle_next_answer_part(&mut self, id: ConnectionId, now: Millis) -> NextPart {
         let Some(current) = self.upstream(id).and_then(|upstream| upstream.current_attempt) else {
             return NextPart::Blocked;
         };
-        let Some(exchange) = self.exchanges.get(&current.request) else { return NextPart::Blocked };
-        let client = self.sockets.get(exchange.downstream);
-        if client.is_some_and(|client| client.role.is_write_buffer_full()) {
+        if !self.exchanges.contains_key(&current.request) {
+            return NextPart::Blocked;
+        }
+        if self.is_answer_held_back(id) {
             return NextPart::Blocked;
         }
         let Some(upstream) = self.upstream(id) else { return NextPart::Blocked };
