Deliver the early answer of a pool worker that stops reading the request

Callers saw: 502, or a second run, where a worker of a standalone pool had answered, for example with 413, and closed before it read the whole request.

Cause: the write error on the rest of the request closed the worker's connection before its answer was read.

Evidence: the new test stops the scheduler in the middle of a large request, lets the worker answer 413 and close, and got something else than 413 before the change.

Change: as in the platform's loop, what has arrived is read before a failed write closes the connection to a worker that has received a part of the request.

Result: the test fails before and passes after the change.

--- a/crates/node/src/direct/event_loop/connection.rs
+++ b/crates/node/src/direct/event_loop/connection.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Returns whether the peer is a worker that has received a part of a request, and so may have answered it
+    /// before its end.
+    pub(super) fn may_have_been_answered(&self) -> bool {
+        matches!(self, Role::Upstream(upstream) if upstream.has_written)
+    }
+
     /// Returns whether the write buffer has reached its limit.
     pub(super) fn is_write_buffer_full(&self) -> bool {
         self.write_buffer().unsent().len() >= WRITE_BUFFER_LIMIT
--- a/crates/node/src/direct/event_loop/transfer.rs
+++ b/crates/node/src/direct/event_loop/transfer.rs
@@ -75,6 +75,8 @@
                     }
                     self.handle_parts(id);
                 }
+                // Everything that the peer had sent before the write failed is handled.
+                ReadResult::WouldBlock if socket.has_failed_write => return self.handle_disconnect(id),
                 ReadResult::WouldBlock => return,
                 ReadResult::Closed => return self.handle_peer_close(id),
                 ReadResult::Failed => return self.handle_disconnect(id),
@@ -86,7 +88,7 @@
     /// connection is driven too, in this iteration or the next one.
     pub(super) fn flush(&mut self, id: ConnectionId) {
         let Some(socket) = self.sockets.get_mut(id) else { return };
-        if socket.is_connecting {
+        if !socket.can_write() {
             return;
         }
         let was_full = socket.role.is_write_buffer_full();
@@ -98,6 +100,10 @@
                     }
                 }
                 WriteResult::WouldBlock => break,
+                WriteResult::Failed if socket.role.may_have_been_answered() => {
+                    socket.has_failed_write = true;
+                    return self.pending_drives.push(id);
+                }
                 WriteResult::Failed => return self.handle_disconnect(id),
             }
         }
--- a/crates/testbed/tests/direct/early_closes.rs
+++ b/crates/testbed/tests/direct/early_closes.rs
@@ -7,6 +7,8 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
+/// Size of a message that fills the buffers between its two ends.
+const LARGE_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Limit of a read.
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
 /// Size of the receive buffer of a client that reads late.
@@ -83,3 +85,31 @@
     stream.write_all(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n").unwrap();
     stream.write_all(&vec![b'x'; size]).unwrap();
 }
+
+/// A worker may answer and close before it has read the whole request. The scheduler is stopped meanwhile, so
+/// that its next write fails before it has read the answer.
+#[test]
+fn early_answer_reaches_the_client_although_the_request_cannot_be_sent() {
+    block_on(async {
+        let (scheduler, listener) = start_with_worker("early-answer").await;
+        let mut client = TcpStream::connect(scheduler.addr).unwrap();
+        client.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+        let mut request = client.try_clone().unwrap();
+        let sender = std::thread::spawn(move || {
+            let head = format!("POST /pay HTTP/1.1\r\nHost: h\r\nContent-Length: {LARGE_BODY_BYTES}\r\n\r\n");
+            request.write_all(head.as_bytes()).unwrap();
+            let _ = request.write_all(&vec![b'x'; LARGE_BODY_BYTES]); // fails once the request is answered
+        });
+        let mut worker = listener.accept().unwrap().0;
+        read_head(&mut worker);
+        std::thread::sleep(FILL_TIME);
+        scheduler.signal("-STOP");
+        let answer = "HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+        worker.write_all(answer.as_bytes()).unwrap();
+        drop(worker);
+        scheduler.signal("-CONT");
+        assert!(read_head(&mut client).starts_with("HTTP/1.1 413 "));
+        drop(client);
+        sender.join().unwrap();
+    });
+}
