Count the time of a request from its earliest possible arrival

Callers saw: a worker was told more time than its client had left, by up to the time that the loop had been busy; it could go on with a job whose client had given up.

Cause: the deadline of a job counted from the moment in which the loop read the request. While an iteration is long, requests wait unread.

Change: the loop knows when its previous iteration began. Where the wait for events did not block, a request read now counts from there. Iterations of 100 ms and more are logged, so that a delay of the process can be told from one of its peers. Creating the membership moved into a function of its own.

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -16,6 +16,7 @@
 use crate::worker_protocol::{job_path, HEALTH_PATH, LOAD_PATH};
 use accept::AcceptSchedule;
 use admin::AdminInterface;
+use iteration_times::IterationTimes;
 use limits::ConnectionLimits;
 use membership::Membership;
 use mio::net::TcpListener;
@@ -36,6 +37,7 @@
 mod descriptor_passing;
 mod downstreams;
 mod idle_downstreams;
+mod iteration_times;
 mod limits;
 mod membership;
 mod migration;
@@ -93,6 +95,7 @@
     pool: ConnectionPool,
     drain: Drain,
     counters_due_at: Millis,
+    iteration_times: IterationTimes,
 }
 
 impl EventLoop {
@@ -123,12 +126,7 @@
         let listener = TcpListener::from_std(startup.listener);
         poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
         let admin = AdminInterface::new(config.admin_address, poll.registry())?;
-        let membership_setup = config.setup.0.membership.as_ref();
-        let mut membership = membership_setup.map(|setup| Membership::new(setup, config.seed, &clock));
-        // In an upgrade, the predecessor uses the membership address until this process accepts clients.
-        if let Some(membership) = membership.as_mut().filter(|_| startup.predecessor.is_none()) {
-            membership.bind(poll.registry())?;
-        }
+        let membership = new_membership(&config, &clock, &poll, startup.predecessor.is_some())?;
         let membership_descriptors = if membership.is_some() { membership::RESERVED_DESCRIPTORS } else { 0 };
         let reserved_descriptors = admin.reserved_descriptors() + membership_descriptors;
         let site = Rc::new(config.site);
@@ -165,6 +163,7 @@
             pool: ConnectionPool::default(),
             drain: Drain::new(longest_deadline),
             counters_due_at: now + COUNTERS_INTERVAL,
+            iteration_times: IterationTimes::new(now),
         };
         match startup.predecessor {
             Some(predecessor) => event_loop.start_as_successor(predecessor)?,
@@ -181,11 +180,14 @@
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = Events::with_capacity(MAX_EVENTS);
         while !self.is_finished() || self.accept_last_downstreams() {
+            let waited_from = self.clock.now();
             self.wait_for_events(&mut events)?;
+            self.iteration_times.start_iteration(waited_from, self.clock.now());
             self.handle_events(&events);
             self.decide_and_act();
             self.send_admin_answers(self.clock.now());
             self.migrate_clients();
+            self.iteration_times.warn_of_slow_iteration(self.clock.now());
         }
         self.log_counters(CounterOccasion::Exit);
         match self.membership.as_mut().and_then(|membership| membership.termination_reason.take()) {
@@ -333,3 +335,22 @@
         self.limits.warn_of_descriptor_shortage(now);
     }
 }
+
+/// Creates this scheduler's membership, if the setup configures it. In an upgrade, the predecessor uses the
+/// membership address until this process accepts clients.
+///
+/// # Errors
+/// The membership address cannot be bound.
+fn new_membership(
+    config: &Config,
+    clock: &Clock,
+    poll: &Poll,
+    has_predecessor: bool,
+) -> io::Result<Option<Membership>> {
+    let setup = config.setup.0.membership.as_ref();
+    let mut membership = setup.map(|setup| Membership::new(setup, config.seed, clock));
+    if let Some(membership) = membership.as_mut().filter(|_| !has_predecessor) {
+        membership.bind(poll.registry())?;
+    }
+    Ok(membership)
+}
--- a/crates/node/src/event_loop/downstreams.rs
+++ b/crates/node/src/event_loop/downstreams.rs
@@ -82,7 +82,9 @@
 
     /// Passes a job to the dispatcher, or rejects it because of a drain, a lack of descriptors or a duplicate
     /// trace id.
-    fn handle_job(&mut self, id: ConnectionId, job: Job, now: Millis) {
+    fn handle_job(&mut self, id: ConnectionId, mut job: Job, now: Millis) {
+        // The client's time counts from its sending, which may be an iteration of the loop ago.
+        job.time_to_deadline -= self.iteration_times.input_age(now);
         if self.drain.rejects_jobs(now) {
             // No Retry-After: another scheduler can accept the job at once.
             return self.reject_job(id, &job, 0.0, now);
