Complete the handshakes under way before the client listener is closed

Cause: between the last accept, which found none, and the close of the listener the system went on to establish connections; those were reset with the requests on them.

Change: once nothing else is left to do, a packet filter on the listener drops segments that open a connection, while those of handshakes under way pass; the listener is closed 5 ms later, when no connection has come. A client that comes in that time tries again and finds the next process or none. A listener that belongs to the other process of an upgrade too is not touched, and no successor is let in any more. Where the system rejects the filter, all is as before.

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -78,6 +78,8 @@
     /// Listener for client connections; `None` once the process is about to exit.
     listener: Option<TcpListener>,
     accept_schedule: AcceptSchedule,
+    /// Time at which the listener is closed; `None` until the process has nothing else left to do.
+    listener_closes_at: Option<Millis>,
     sockets: Sockets<Role>,
     limits: ConnectionLimits,
     timers: Timers<ConnectionId>,
@@ -149,6 +151,7 @@
             reload,
             listener: Some(listener),
             accept_schedule: AcceptSchedule::WhenReady,
+            listener_closes_at: None,
             sockets: Sockets::new(),
             limits: ConnectionLimits::new(config.max_descriptors, reserved_descriptors, now),
             timers: Timers::new(),
@@ -179,7 +182,7 @@
     /// Polling failed, or the scheduler has shut down because another process uses its membership name.
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = Events::with_capacity(MAX_EVENTS);
-        while !self.is_finished() || self.accept_last_downstreams() {
+        while !self.is_finished() || self.has_last_connections() {
             let waited_from = self.clock.now();
             self.wait_for_events(&mut events)?;
             self.iteration_times.start_iteration(waited_from, self.clock.now());
@@ -225,6 +228,7 @@
             self.timers.next_expiry(),
             self.drain.closes_idle_at().map(|at| at.max(now + IDLE_CLOSE_INTERVAL)),
             self.accept_schedule.scheduled_time(),
+            self.listener_closes_at,
             self.membership.as_ref().and_then(Membership::next_wake_time),
             self.drain.shutdown_deadline().filter(|deadline| now < *deadline),
         ];
--- a/crates/node/src/event_loop/accept.rs
+++ b/crates/node/src/event_loop/accept.rs
@@ -5,10 +5,26 @@
 use crate::downstream;
 use crate::net::{self, AcceptResult, ACCEPT_BUDGET};
 use mio::net::TcpStream;
+use socket2::{SockFilter, SockRef};
 
 /// Delay before the next accept if an accept has failed or the limit of downstream connections is reached.
 const ACCEPT_BACKOFF: Millis = 20.0;
 
+/// Time that a handshake may need.
+const HANDSHAKE_TIME: Millis = 5.0;
+/// Packet filter that drops segments that open a connection, with the flag SYN in byte 13 of the TCP header, and
+/// lets all others pass.
+const DROP_SYN: [SockFilter; 4] = [
+    SockFilter::new(LOAD_BYTE, 0, 0, 13),
+    SockFilter::new(JUMP_IF_SET, 0, 1, 0x02),
+    SockFilter::new(RETURN, 0, 0, 0),
+    SockFilter::new(RETURN, 0, 0, u32::MAX),
+];
+// Instructions of packet filters (BPF).
+const LOAD_BYTE: u16 = 0x30;
+const JUMP_IF_SET: u16 = 0x45;
+const RETURN: u16 = 0x06;
+
 /// When to accept connections without a readiness event from the listener.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum AcceptSchedule {
@@ -77,15 +93,39 @@
     }
 
     /// Accepts connections that arrived since the last accept, just before the process exits. Returns whether
-    /// there were any; if not, the listener is closed. A connection that is still in the accept queue when
-    /// the process exits is reset, and a request that was sent on it is lost.
-    pub(super) fn accept_last_downstreams(&mut self) -> bool {
+    /// there were any or more may come; if not, the listener is closed. A connection that is still in the
+    /// accept queue then is reset, and a request that was sent on it is lost. Therefore the system is told to
+    /// begin no more handshakes, and the listener is closed once those under way are complete: a client that
+    /// connects later tries again, and reaches the next process or gets an error before it sends anything.
+    pub(super) fn has_last_connections(&mut self) -> bool {
+        let now = self.clock.now();
         let opened_before = self.sockets.opened_count();
+        let closes_at = match self.listener_closes_at {
+            Some(closes_at) => closes_at,
+            None => now + self.stop_handshakes(),
+        };
+        self.listener_closes_at = Some(closes_at);
         self.accept_downstreams();
-        let has_accepted = self.sockets.opened_count() != opened_before;
-        if !has_accepted {
-            self.listener = None;
+        if self.sockets.opened_count() != opened_before || now < closes_at {
+            return true;
+        }
+        self.listener = None;
+        false
+    }
+
+    /// Lets the system ignore new handshakes on the client listener. Returns the time that those under way may
+    /// need; 0 if the listener belongs to another process too, or if the system rejects the filter.
+    fn stop_handshakes(&mut self) -> Millis {
+        // A successor that connected now would get a listener to which no client can connect.
+        self.upgrade.socket = None;
+        let has_own_listener = self.upgrade.accepts_clients() && self.upgrade.peer.is_none();
+        let Some(listener) = self.listener.as_ref().filter(|_| has_own_listener) else { return 0.0 };
+        match SockRef::from(listener).attach_filter(&DROP_SYN) {
+            Ok(()) => HANDSHAKE_TIME,
+            Err(e) => {
+                log::debug!("handshakes not stopped: error={e}");
+                0.0
+            }
         }
-        has_accepted
     }
 }
--- a/crates/node/tests/serve/shutdown.rs
+++ b/crates/node/tests/serve/shutdown.rs
@@ -197,3 +197,34 @@
     assert_eq!(client.read_message().line, "HTTP/1.1 200 OK");
     assert_clean_exit(scheduler);
 }
+
+/// A connection that the system has established while the process exits must not be reset with a request on it:
+/// clients either get an answer or cannot connect.
+#[test]
+fn connections_established_at_the_exit_are_answered() {
+    const CLIENTS: usize = 4;
+    let scheduler = Scheduler::start("connections-at-exit");
+    let _watch = scheduler.confirm_list();
+    scheduler.signal("-TERM");
+    let addr = scheduler.addr;
+    let clients: Vec<_> =
+        (0..CLIENTS).map(|_| std::thread::spawn(move || connect_until_refused(addr))).collect();
+    for client in clients {
+        let unanswered = client.join().unwrap();
+        assert_eq!(unanswered, 0);
+    }
+    assert_clean_exit(scheduler);
+}
+
+/// Checks readiness on a new connection again and again until no connection can be established. Returns the
+/// number of connections that ended without an answer.
+fn connect_until_refused(addr: SocketAddr) -> usize {
+    let mut unanswered = 0;
+    while let Ok(mut stream) = TcpStream::connect(addr) {
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        let is_sent = stream.write_all(b"GET /up HTTP/1.1\r\n\r\n").is_ok();
+        let is_answered = is_sent && stream.read(&mut [0]).is_ok_and(|length| length > 0);
+        unanswered += usize::from(!is_answered);
+    }
+    unanswered
+}
