Record in the test bed how long processes wait for a processor

Need: a rule that a run breaks beside load could not be told from a delay of the machine or of the test bed, of which only one task measured its own lateness.

--- a/crates/testbed/src/journal.rs
+++ b/crates/testbed/src/journal.rs
@@ -184,6 +184,18 @@
         /// The length of the stall, in milliseconds.
         ms: f64,
     },
+    /// A thread of the test bed waited for a processor, in the interval that ends at the time of this entry.
+    TestBedWaited {
+        /// The longest wait of a thread, in milliseconds.
+        ms: f64,
+    },
+    /// The process of a scheduler waited for a processor, in the interval that ends at the time of this entry.
+    SchedulerWaited {
+        /// The scheduler.
+        scheduler: usize,
+        /// The length of the wait, in milliseconds.
+        ms: f64,
+    },
     /// A fault of the scenario begins.
     Fault {
         /// The kind and the targets of the fault.
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod runner;
 pub mod scenario;
 pub mod schedulers;
+pub mod scheduling_delays;
 pub mod soak;
 pub mod stage;
 #[cfg(test)]
--- a/crates/testbed/src/runner.rs
+++ b/crates/testbed/src/runner.rs
@@ -10,6 +10,7 @@
 use crate::relay::Relay;
 use crate::scenario::Scenario;
 use crate::schedulers::{Addresses, Scheduler};
+use crate::scheduling_delays;
 use crate::stage::TestEnvironment;
 use crate::workers::Worker;
 use anyhow::Result;
@@ -111,11 +112,13 @@
     }
     let clients = Clients::new(&environment.scenario, client_addresses, journal.clone());
     let heartbeat = tokio::spawn(record_stalls(journal.clone()));
+    let own_waits = tokio::spawn(scheduling_delays::record_own_waits(journal.clone()));
     let stats = tokio::spawn(record_stats(environment.clone(), start_ms, progress));
     let (_, faults_result) =
         tokio::join!(clients.run(plan.clone()), faults::inject_all(environment.clone(), faults));
     stats.abort();
     heartbeat.abort();
+    own_waits.abort();
     faults_result?;
     terminate_all(&environment).await?;
     Ok(Run { scenario: environment.scenario.clone(), plan, entries: journal.entries() })
--- a/crates/testbed/src/schedulers.rs
+++ b/crates/testbed/src/schedulers.rs
@@ -6,6 +6,7 @@
 use crate::journal::{Journal, Observation};
 use crate::relay::Relay;
 use crate::scenario::{Members, Scenario};
+use crate::scheduling_delays::record_scheduler_waits;
 use crate::wire::{self, Connection};
 use anyhow::{bail, Context, Result};
 use config::{member_name, SchedulerParameters};
@@ -130,7 +131,12 @@
             command.arg("--setup").arg(path);
         }
         command.env("TMPDIR", &self.directory).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        command.kill_on_drop(true).spawn().with_context(|| format!("cannot start {}", self.binary.display()))
+        let child = command.kill_on_drop(true).spawn();
+        let child = child.with_context(|| format!("cannot start {}", self.binary.display()))?;
+        if let Some(process) = child.id() {
+            tokio::spawn(record_scheduler_waits(self.journal.clone(), self.number, process));
+        }
+        Ok(child)
     }
 
     /// Starts a process and waits until it accepts clients.
