Upgrade under load and signals in quick series in the soak

Need: the soak had no upgrades, and its signals came 30 ms apart.

Change: every fourth seed has two upgrades under load with deferred jobs, one of them with SIGHUP in series to both processes; the signals of a series come 1, 4 and 30 ms apart.

--- a/crates/testbed/src/faults.rs
+++ b/crates/testbed/src/faults.rs
@@ -82,6 +82,7 @@
         | FaultKind::TermThenKill
         | FaultKind::Signals
         | FaultKind::Upgrade
+        | FaultKind::UpgradeUnderSignals
         | FaultKind::Reload => {
             for number in &fault.targets {
                 let Some(scheduler) = environment.schedulers.get(*number) else { continue };
@@ -250,6 +251,7 @@
     match kind {
         FaultKind::Kill => scheduler.kill_and_restart(&environment.scenario).await,
         FaultKind::Upgrade => scheduler.upgrade(&environment.scenario).await,
+        FaultKind::UpgradeUnderSignals => scheduler.upgrade_under_signals(&environment.scenario).await,
         FaultKind::Reload => scheduler.reload(),
         FaultKind::Signals => {
             scheduler.send_signal_burst().await?;
--- a/crates/testbed/src/scenario.rs
+++ b/crates/testbed/src/scenario.rs
@@ -264,6 +264,8 @@
     TermThenKill,
     /// A scheduler is upgraded: a successor starts, then the predecessor gets SIGTERM.
     Upgrade,
+    /// A scheduler is upgraded while both processes get SIGHUP several times in quick succession.
+    UpgradeUnderSignals,
     /// A scheduler gets SIGHUP.
     Reload,
     /// An operator disables a worker and enables it after the duration.
--- a/crates/testbed/src/schedulers.rs
+++ b/crates/testbed/src/schedulers.rs
@@ -25,8 +25,9 @@
 const MAX_DEADLINE_MS: f64 = 3_000.0;
 /// Time that operators wait beyond the longest deadline before they send SIGKILL, in milliseconds.
 pub const SHUTDOWN_GRACE_MS: f64 = 700.0;
-/// Interval between the signals of a burst.
-const SIGNAL_INTERVAL: Duration = Duration::from_millis(30);
+/// Pause after each signal of a series: shorter than a reload for some, longer for others.
+const SIGNAL_PAUSES: [Duration; 3] =
+    [Duration::from_millis(1), Duration::from_millis(4), Duration::from_millis(30)];
 
 /// The listen addresses of a scheduler.
 #[derive(Clone, Copy, Debug)]
@@ -241,14 +242,9 @@
     /// Returns an error if there is no process, or it cannot be signalled.
     pub async fn send_signal_burst(&mut self) -> Result<()> {
         let child = self.child.as_ref().context("the scheduler is not running")?;
-        for signal in [Signal::HUP, Signal::HUP, Signal::TERM, Signal::HUP, Signal::TERM] {
-            if signal == Signal::TERM {
-                self.journal.record(Observation::SchedulerTerminated { scheduler: self.number });
-            }
-            Scheduler::signal(child, signal)?;
-            tokio::time::sleep(SIGNAL_INTERVAL).await;
-        }
-        Ok(())
+        send_signals(child, &[Signal::HUP, Signal::HUP]).await?;
+        self.journal.record(Observation::SchedulerTerminated { scheduler: self.number });
+        send_signals(child, &[Signal::TERM, Signal::HUP, Signal::TERM]).await
     }
 
     /// Ends the process by SIGTERM, and kills it as soon as operators may do so: after the longest
@@ -285,15 +281,36 @@
     /// # Errors
     /// Returns an error if the successor does not become ready or the predecessor does not exit in time.
     pub async fn upgrade(&mut self, scenario: &Scenario) -> Result<()> {
+        self.upgrade_with_signals(scenario, &[]).await
+    }
+
+    /// As [`Scheduler::upgrade`], with SIGHUP in quick succession: to the predecessor while the successor
+    /// starts, and to both as the predecessor ends.
+    ///
+    /// # Errors
+    /// As for [`Scheduler::upgrade`], or a process cannot be signalled.
+    pub async fn upgrade_under_signals(&mut self, scenario: &Scenario) -> Result<()> {
+        self.upgrade_with_signals(scenario, &[Signal::HUP, Signal::HUP, Signal::HUP]).await
+    }
+
+    async fn upgrade_with_signals(&mut self, scenario: &Scenario, signals: &[Signal]) -> Result<()> {
         let admin = free_address()?;
         let successor = self.spawn(scenario, admin)?;
         let predecessor = self.child.replace(successor);
+        if let Some(predecessor) = &predecessor {
+            send_signals(predecessor, signals).await?;
+        }
         self.wait_until_answered(admin, "GET /healthcheck").await?;
         let successor = self.child.take();
         self.child = predecessor;
+        for process in [&successor, &self.child].into_iter().flatten() {
+            send_signals(process, signals).await?;
+        }
         self.terminate().await?;
         self.child = successor;
         self.addresses.admin = admin;
+        // The exit of the predecessor is not an end of the scheduler.
+        self.journal.record(Observation::SchedulerUp { scheduler: self.number });
         Ok(())
     }
 
@@ -354,6 +371,15 @@
     }
 }
 
+/// Sends signals to a process in quick succession.
+async fn send_signals(child: &Child, signals: &[Signal]) -> Result<()> {
+    for (signal, pause) in signals.iter().zip(SIGNAL_PAUSES.iter().cycle()) {
+        Scheduler::signal(child, *signal)?;
+        tokio::time::sleep(*pause).await;
+    }
+    Ok(())
+}
+
 /// Returns the resident memory of a process in KiB; `None` if the operating system does not report it.
 pub fn resident_kib(id: u32) -> Option<u64> {
     let text = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -28,6 +28,9 @@
 /// Number of connections of a crowd.
 const CROWD_CONNECTIONS: f64 = 300.0;
 
+/// Setup of the schedulers in runs with upgrades.
+const DEFERRAL_SETUP: &str = "<postusher><waiting/></postusher>";
+
 /// The kinds of faults; more likely kinds are listed several times.
 const FAULT_KINDS: [FaultKind; 19] = [
     FaultKind::Crash,
@@ -136,7 +139,20 @@
     )
 }
 
-/// Generates the scenario of a seed.
+/// Returns how jobs are deferred in runs with upgrades.
+fn deferred_jobs() -> DeferredJobs {
+    DeferredJobs {
+        share: 0.3,
+        dependent_fraction: 0.5,
+        any_answer_fraction: 0.3,
+        max_dependencies: 3,
+        delay_ms: [100.0, 3_000.0],
+        extra_timeout_ms: 6_000.0,
+    }
+}
+
+/// Generates the scenario of a seed. Every third has a crowd of connections, every fourth has upgrades and
+/// deferred jobs.
 pub fn generate_scenario(seed: u64) -> Scenario {
     let rng = &mut ChaCha8Rng::seed_from_u64(seed);
     let (schedulers, workers) = (rng.random_range(10..=16), rng.random_range(12..=20));
@@ -156,16 +172,22 @@
     if listed > 0 {
         fault.extend(draw_release(rng, schedulers, workers));
     }
+    let load = rng.random_range(0.2..0.5);
+    let has_upgrades = seed.is_multiple_of(4);
+    if has_upgrades {
+        let kinds = [FaultKind::Upgrade, FaultKind::UpgradeUnderSignals];
+        fault.extend(kinds.map(|kind| draw_fault(rng, kind, schedulers, workers)));
+    }
     Scenario {
         about: format!(
             "Soak of seed {seed}: {schedulers} schedulers, {workers} workers, \
              {listed} additional entries on the endpoint list"
         ),
         seconds: DURATION_S,
-        load: rng.random_range(0.2..0.5),
+        load,
         schedulers,
         sockets: DESCRIPTOR_LIMIT,
-        setup: None,
+        setup: has_upgrades.then(|| DEFERRAL_SETUP.into()),
         members: None,
         fleet: Fleet {
             workers,
@@ -178,7 +200,7 @@
             listed,
         },
         class,
-        waiting: DeferredJobs::default(),
+        waiting: if has_upgrades { deferred_jobs() } else { DeferredJobs::default() },
         backlog: Vec::new(),
         fault,
         disconnect_fraction: 0.03,
