Let a mock client that sends a job again tell the time that it has left

Cause: a client whose reused connection had ended sent the same bytes on a new one, with its full time in X-Expires-In, although its time counts from the first sending. Change: the header of a job that is sent again, and the time for which its client waits, are less by what has passed. The check is as it was; a client's wait is shorter by that time, so its check of a missing answer is stricter.

--- a/crates/testbed/src/clients.rs
+++ b/crates/testbed/src/clients.rs
@@ -77,9 +77,9 @@
     async fn submit(&self, job: &Job) {
         let reused = self.idle(job.scheduler).pop();
         let is_reused = reused.is_some();
-        let request = self.request(job);
+        let submitted_at = self.journal.now();
         if let Some(connection) = reused {
-            match self.exchange(job, &request, connection, true).await {
+            match self.exchange(job, submitted_at, connection, true).await {
                 Exchange::Recorded => return,
                 // The scheduler may close a connection between requests; the request is sent again on a new
                 // one.
@@ -88,22 +88,24 @@
         }
         match TcpStream::connect(self.schedulers[job.scheduler]).await {
             Ok(stream) => {
-                self.exchange(job, &request, Connection::new(stream), false).await;
+                self.exchange(job, submitted_at, Connection::new(stream), false).await;
             }
             Err(_) => self.record_connection_loss(job, is_reused),
         }
     }
 
     /// Sends a request and records its outcome. If the connection is reused and had ended before the request,
-    /// no outcome is recorded, so that the caller can repeat the request.
+    /// no outcome is recorded, so that the caller can repeat the request. The client's time counts from
+    /// `submitted_at`.
     async fn exchange(
         &self,
         job: &Job,
-        request: &[u8],
+        submitted_at: f64,
         mut connection: Connection,
         is_reused: bool,
     ) -> Exchange {
-        if connection.send(request).await.is_err() {
+        let elapsed = self.journal.now() - submitted_at;
+        if connection.send(&self.request(job, elapsed)).await.is_err() {
             if is_reused {
                 return Exchange::StaleConnection;
             }
@@ -113,6 +115,7 @@
         let sent = self.journal.now();
         self.journal.record(Observation::Sent { job: job.id.clone() });
         let limit_ms = job.disconnects_after.unwrap_or(job.client_timeout + LATE_ANSWER_WAIT_MS);
+        let limit_ms = (limit_ms - elapsed).max(0.0);
         let answer =
             tokio::time::timeout(Duration::from_secs_f64(limit_ms / 1e3), connection.message()).await;
         match answer {
@@ -152,13 +155,15 @@
         self.journal.record(Observation::ConnectionLost { job: job_id, scheduler: job.scheduler, stale });
     }
 
-    fn request(&self, job: &Job) -> Vec<u8> {
+    /// Returns the request of a job for a client that has waited for `elapsed` milliseconds already.
+    fn request(&self, job: &Job, elapsed: f64) -> Vec<u8> {
+        let time_left = (job.client_timeout - elapsed).max(0.0);
         let (class, effect) = &self.classes[job.class];
         let mut headers = vec![
             ("Host", "s".to_string()),
             ("X-Trace-Id", job.id.clone()),
             ("X-Qos", class.clone()),
-            ("X-Expires-In", format!("{}m", job.client_timeout.round())),
+            ("X-Expires-In", format!("{}m", time_left.round())),
             ("X-Size-Hint", (job.size_hint * 1e3).round().to_string()),
             ("X-Props", format!("slots={}", job.slots)),
         ];
