Let clients connect again if a last request delays the exit of a process

Cause: found on reading the change that stops handshakes before the listener is closed: if one of the last connections brought a request that takes long, new clients stayed shut out until it was answered, and the loop woke up without pause, as the time at which the listener was to be closed had passed. Change: 5 ms after that time the filter is removed, and the process starts over once it is finished again.

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -228,7 +228,7 @@
             self.timers.next_expiry(),
             self.drain.closes_idle_at().map(|at| at.max(now + IDLE_CLOSE_INTERVAL)),
             self.accept_schedule.scheduled_time(),
-            self.listener_closes_at,
+            self.listener_wake_time(now),
             self.membership.as_ref().and_then(Membership::next_wake_time),
             self.drain.shutdown_deadline().filter(|deadline| now < *deadline),
         ];
@@ -288,6 +288,7 @@
         if self.drain.closes_idle(now) {
             self.close_idle_downstreams(now);
         }
+        self.resume_handshakes(now);
         if now >= self.counters_due_at {
             self.log_counters(CounterOccasion::Periodic);
             self.counters_due_at = now + COUNTERS_INTERVAL;
--- a/crates/node/src/event_loop/accept.rs
+++ b/crates/node/src/event_loop/accept.rs
@@ -113,6 +113,25 @@
         false
     }
 
+    /// Returns when the loop has to wake up for the closing of the listener: to close it or, if a last request
+    /// takes longer, to resume handshakes.
+    pub(super) fn listener_wake_time(&self, now: Millis) -> Option<Millis> {
+        let closes_at = self.listener_closes_at?;
+        Some(if now < closes_at { closes_at } else { closes_at + HANDSHAKE_TIME })
+    }
+
+    /// Lets the system begin handshakes again if the process has not exited by then, because a last connection
+    /// has brought a request that takes longer.
+    pub(super) fn resume_handshakes(&mut self, now: Millis) {
+        if self.listener_closes_at.is_none_or(|closes_at| now < closes_at + HANDSHAKE_TIME) {
+            return;
+        }
+        self.listener_closes_at = None;
+        if let Some(listener) = &self.listener {
+            let _ = SockRef::from(listener).detach_filter(); // fails only if there is none
+        }
+    }
+
     /// Lets the system ignore new handshakes on the client listener. Returns the time that those under way may
     /// need; 0 if the listener belongs to another process too, or if the system rejects the filter.
     fn stop_handshakes(&mut self) -> Millis {
