Test that a session stays with a worker slower than the connect timeout

Need: sessions_stay_with_live_and_draining_workers once got an answer of another worker; a worker given up at the connect timeout would explain that. Change: a test with workers that answer after 1.2 s. Result: passes with the request timeout in force from the connect on. The field case itself was not reproduced.

--- a/crates/testbed/tests/direct/sessions.rs
+++ b/crates/testbed/tests/direct/sessions.rs
@@ -45,6 +45,22 @@
     });
 }
 
+/// A worker that is slower than the connect timeout, 1 s by default, keeps its sessions.
+#[test]
+fn session_stays_with_a_slow_worker() {
+    block_on(async {
+        let mut pools = import_sample(&import_samples().join("apache-disabled")).unwrap();
+        let _mock_workers = start_mock_workers(&mut pools, |_| Duration::from_millis(1_200)).await;
+        let scheduler = Scheduler::start("slow-session", &pools).await;
+        for (route, port) in [("n1", 9001), ("n2", 9002)] {
+            let headers = [("Host", "h"), ("Cookie", &format!("JSESSIONID=5f3a.{route}"))];
+            let response = Client::new(scheduler.addr).request("GET /x", &headers, b"").await.unwrap();
+            let worker = format!("127.0.0.1:{port}");
+            assert_eq!(response.header("X-Worker"), Some(worker.as_str()), "{route}");
+        }
+    });
+}
+
 #[test]
 fn strict_session_is_rejected_and_redirect_is_followed() {
     block_on(async {
