Count a dependency as answered if its worker had finished before its client left

Cause: the rule on early starts was wrong for a dependency that any answer satisfies if its client left in the same moment. The scheduler had the result and an answer on its way; by docs/WAITING.md the dependent job may start. Change: such a dependency counts as answered when its worker had finished it, if that was before the client left. A client that left before that still makes an early start a breach, which the rule's test now asks for.

--- a/crates/testbed/src/rules/starts.rs
+++ b/crates/testbed/src/rules/starts.rs
@@ -1,7 +1,7 @@
 //! Rules about the start of jobs: no overload of workers in slow start, and no deferred job before it is
 //! ready.
 
-use super::{Rule, RunIndex};
+use super::{JobHistory, Rule, RunIndex};
 use crate::journal::Observation;
 use crate::scenario::{OVERLOAD_FACTOR, OVERLOAD_WINDOW_MS};
 use std::collections::HashMap;
@@ -95,7 +95,7 @@
                     format!("{id} reached a worker at {arrived_at:.0} ms, before {dependency_id} was done"),
                 );
             } else if *takes_any_answer
-                && dependency.answered_at().is_none_or(|at| at > arrived_at + MAX_ANSWER_DELAY_MS)
+                && answer_time(dependency).is_none_or(|at| at > arrived_at + MAX_ANSWER_DELAY_MS)
             {
                 add(
                     Rule::StartWhenReady,
@@ -107,3 +107,12 @@
         }
     }
 }
+
+/// Returns when a dependency had an answer, in milliseconds: when its client received it or, if the client left
+/// after a worker had finished the job, when the worker had. The answer was then on its way as the client left.
+fn answer_time(dependency: &JobHistory) -> Option<f64> {
+    let is_departure = |(_, outcome): &&(f64, &Observation)| matches!(outcome, Observation::ClientLeft { .. });
+    let left_at = || dependency.outcomes.iter().find(is_departure).map(|(at, _)| *at);
+    let done_before = |left_at: f64| dependency.done.iter().copied().find(|done| *done < left_at);
+    dependency.answered_at().or_else(|| left_at().and_then(done_before))
+}
--- a/crates/testbed/src/rules/tests.rs
+++ b/crates/testbed/src/rules/tests.rs
@@ -202,6 +202,14 @@
         broken_rules(&run(Effect::Repeatable, jobs(any), all))
     };
     assert_eq!((failed(false), failed(true)), (vec![Rule::DependencyServed], vec![]));
+    // The client of the dependency left without its answer, after or before a worker had finished the job.
+    let left = |at: f64| {
+        let left = Observation::ClientLeft { job: "a".into() };
+        let mut all = vec![(1.0, sent("a")), (2.0, received("a", 0, true)), (3.0, done("a")), (at, left)];
+        all.extend(b(5.0));
+        broken_rules(&run(Effect::Repeatable, jobs(true), all))
+    };
+    assert_eq!((left(3.1), left(2.9)), (vec![], vec![Rule::StartWhenReady]));
     let c =
         |at: f64| vec![(1.0, sent("c")), (at, received("c", 1, false)), (61.0, answered("c", 503, false))];
     assert_eq!((with(false, c(50.0)), with(false, c(48.0))), (vec![], vec![Rule::StartWhenReady]));
