--- a/crates/testbed/src/rules/starts.rs
+++ b/crates/testbed/src/rules/starts.rs
@@ -111,7 +111,8 @@
 /// Returns when a dependency had an answer, in milliseconds: when its client received it or, if the client left
 /// after a worker had finished the job, when the worker had. The answer was then on its way as the client left.
 fn answer_time(dependency: &JobHistory) -> Option<f64> {
-    let is_departure = |(_, outcome): &&(f64, &Observation)| matches!(outcome, Observation::ClientLeft { .. });
+    let is_departure =
+        |(_, outcome): &&(f64, &Observation)| matches!(outcome, Observation::ClientLeft { .. });
     let left_at = || dependency.outcomes.iter().find(is_departure).map(|(at, _)| *at);
     let done_before = |left_at: f64| dependency.done.iter().copied().find(|done| *done < left_at);
     dependency.answered_at().or_else(|| left_at().and_then(done_before))
--- a/crates/testbed/src/schedulers.rs
+++ b/crates/testbed/src/schedulers.rs
@@ -1,6 +1,7 @@
 //! Processes of the scheduler program, which are started and stopped as operators do it.
 
 mod config;
+mod signals;
 
 use crate::free_address::free_address;
 use crate::journal::{Journal, Observation};
@@ -10,7 +11,8 @@
 use crate::wire::{self, Connection};
 use anyhow::{bail, Context, Result};
 use config::{member_name, SchedulerParameters};
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::Signal;
+use signals::{send_signal, send_signals};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
@@ -25,10 +27,6 @@
 const MAX_DEADLINE_MS: f64 = 3_000.0;
 /// Time that operators wait beyond the longest deadline before they send SIGKILL, in milliseconds.
 pub const SHUTDOWN_GRACE_MS: f64 = 700.0;
-/// Pause after each signal of a series: shorter than a reload for some, longer for others.
-const SIGNAL_PAUSES: [Duration; 3] =
-    [Duration::from_millis(1), Duration::from_millis(4), Duration::from_millis(30)];
-
 /// The listen addresses of a scheduler.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -174,11 +172,6 @@
         )
     }
 
-    fn signal(child: &Child, signal: Signal) -> Result<()> {
-        let id = child.id().and_then(|id| Pid::from_raw(id as i32));
-        Ok(kill_process(id.context("the scheduler process has exited")?, signal)?)
-    }
-
     /// Kills the process by SIGKILL and starts another.
     ///
     /// # Errors
@@ -205,7 +198,7 @@
     /// # Errors
     /// Returns an error if there is no process, or it cannot be signalled.
     pub fn pause(&self) -> Result<()> {
-        Scheduler::signal(self.child.as_ref().context("the scheduler is not running")?, Signal::STOP)
+        send_signal(self.child.as_ref().context("the scheduler is not running")?, Signal::STOP)
     }
 
     /// Continues the process by SIGCONT.
@@ -213,7 +206,7 @@
     /// # Errors
     /// Returns an error if there is no process, or it cannot be signalled.
     pub fn resume(&self) -> Result<()> {
-        Scheduler::signal(self.child.as_ref().context("the scheduler is not running")?, Signal::CONT)
+        send_signal(self.child.as_ref().context("the scheduler is not running")?, Signal::CONT)
     }
 
     /// Ends the process by SIGTERM and waits for its exit.
@@ -223,7 +216,7 @@
     pub async fn terminate(&mut self) -> Result<()> {
         let Some(mut child) = self.child.take() else { return Ok(()) };
         self.journal.record(Observation::SchedulerTerminated { scheduler: self.number });
-        Scheduler::signal(&child, Signal::TERM)?;
+        send_signal(&child, Signal::TERM)?;
         let code = tokio::time::timeout(START_OR_EXIT_TIMEOUT, child.wait()).await.with_context(|| {
             format!("scheduler {} did not exit within {START_OR_EXIT_TIMEOUT:?} after SIGTERM", self.number)
         })??;
@@ -255,7 +248,7 @@
     pub async fn terminate_or_kill(&mut self, scenario: &Scenario) -> Result<()> {
         let Some(mut child) = self.child.take() else { return Ok(()) };
         self.journal.record(Observation::SchedulerTerminated { scheduler: self.number });
-        Scheduler::signal(&child, Signal::TERM)?;
+        send_signal(&child, Signal::TERM)?;
         let longest_deadline = scenario
             .class
             .iter()
@@ -319,7 +312,7 @@
     /// # Errors
     /// Returns an error if there is no process, or it cannot be signalled.
     pub fn reload(&self) -> Result<()> {
-        Scheduler::signal(self.child.as_ref().context("the scheduler is not running")?, Signal::HUP)
+        send_signal(self.child.as_ref().context("the scheduler is not running")?, Signal::HUP)
     }
 
     /// Sends a request, given as method and target, to the admin interface. Returns the status and the body
@@ -371,15 +364,6 @@
     }
 }
 
-/// Sends signals to a process in quick succession.
-async fn send_signals(child: &Child, signals: &[Signal]) -> Result<()> {
-    for (signal, pause) in signals.iter().zip(SIGNAL_PAUSES.iter().cycle()) {
-        Scheduler::signal(child, *signal)?;
-        tokio::time::sleep(*pause).await;
-    }
-    Ok(())
-}
-
 /// Returns the resident memory of a process in KiB; `None` if the operating system does not report it.
 pub fn resident_kib(id: u32) -> Option<u64> {
     let text = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
