Leave a listener alone that another process may hold when the process exits

Cause: found on reading the change that stops handshakes: the packet filter belongs to the listening socket, which the two processes of an upgrade share. Where their link had been lost while both ran on, the exit of one would have shut the other off for good. Change: a process that has received its listener or passed it on sets no filter; the gap of some microseconds before the close stays there. Result: clippy and the tests of upgrades; no test forces the loss of the link between two running processes.

--- a/crates/node/src/event_loop/accept.rs
+++ b/crates/node/src/event_loop/accept.rs
@@ -133,11 +133,12 @@
     }
 
     /// Lets the system ignore new handshakes on the client listener. Returns the time that those under way may
-    /// need; 0 if the listener belongs to another process too, or if the system rejects the filter.
+    /// need; 0 if the listener may belong to another process too, which the filter would shut off, or if the
+    /// system rejects the filter.
     fn stop_handshakes(&mut self) -> Millis {
         // A successor that connected now would get a listener to which no client can connect.
         self.upgrade.socket = None;
-        let has_own_listener = self.upgrade.accepts_clients() && self.upgrade.peer.is_none();
+        let has_own_listener = self.upgrade.accepts_clients() && !self.upgrade.has_shared_listener;
         let Some(listener) = self.listener.as_ref().filter(|_| has_own_listener) else { return 0.0 };
         match SockRef::from(listener).attach_filter(&DROP_SYN) {
             Ok(()) => HANDSHAKE_TIME,
--- a/crates/node/src/event_loop/upgrade.rs
+++ b/crates/node/src/event_loop/upgrade.rs
@@ -26,6 +26,7 @@
         let Predecessor { state, stream, link } = predecessor;
         stream.set_nonblocking(true)?;
         log::info!("upgrade started: role=successor");
+        self.upgrade.has_shared_listener = true;
         self.upgrade.has_same_settings = state.settings_digest == Some(self.upgrade.settings_digest);
         for name in state.disabled_workers {
             self.handle_peer_message(Message::AdminRequest(AdminRequest::DisableWorker(name)));
@@ -85,6 +86,7 @@
             settings_digest: Some(self.upgrade.settings_digest),
         }));
         let Some(listener) = &self.listener else { return Err(ErrorKind::NotConnected.into()) };
+        self.upgrade.has_shared_listener = true;
         let sent = send_with_descriptor(&stream, link.write_buffer.unsent(), listener.as_fd())?;
         link.write_buffer.mark_sent(sent);
         self.attach_peer(stream, link)
--- a/crates/node/src/event_loop/upgrade_state.rs
+++ b/crates/node/src/event_loop/upgrade_state.rs
@@ -64,6 +64,9 @@
     pub(super) has_same_settings: bool,
     /// This process accepts client connections.
     pub(super) accepts_clients: bool,
+    /// The client listener has been received from a predecessor or passed to a successor, so that another
+    /// process may still use it, even one to which the link is lost.
+    pub(super) has_shared_listener: bool,
 }
 
 impl Upgrade {
@@ -79,6 +82,7 @@
             settings_digest,
             has_same_settings: false,
             accepts_clients: false,
+            has_shared_listener: false,
         }
     }
 
