--- /dev/null
+++ b/review/standins/src/cases/mod.rs
@@ -0,0 +1,147 @@
+//! The cases. Each starts a small deployment, with or without its disruption, and checks one rule.
+
+mod crowd;
+mod direct;
+mod report;
+
+use crate::client::Outcome;
+use crate::discovery::{unix_ms, Discovery};
+use crate::record::Record;
+use crate::scheduler::{free_address, Plan, Scheduler};
+use crate::worker::Worker;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Runs a case; returns whether its rule held.
+pub fn run(case: &str, folder: &Path, trouble: bool) -> io::Result<bool> {
+    let record = Record::create(&folder.join("record.txt"))?;
+    record.line(&format!("case={case} trouble={trouble}"));
+    match case {
+        "crowd" => crowd::run(&record, trouble),
+        "report" => report::run(&record, trouble),
+        "direct" => direct::run(&record, trouble),
+        _ => Err(io::Error::other("no such case")),
+    }
+}
+
+/// The settings of a small deployment: three classes, one of each effect.
+pub fn settings() -> String {
+    format!(
+        "{{\"Clients\":{{\"MarksRetry\":false}},\"Discovery\":\"ask\",\"DomainType\":\"jobs\",\"Me\":0,\
+         \"Models\":[\"m\"],\"MyZone\":0,\
+         \"Permissions\":{{\"Cancel\":true,\"ConnectTimeoutMs\":100,\"KeepaliveMs\":5000,\"MaxAttempts\":5,\
+         \"MaxOpen\":20000,\"MaxRetryAfterMs\":2000,\"MaxStreams\":1,\"Peers\":false,\"Probes\":true,\
+         \"RetryAfter\":true,\"SecondCopies\":true}},\
+         \"Realms\":[],\"Report\":{{\"Fields\":[\"concurrent\",\"x0\"],\"Source\":\"inline\"}},\"RoundMs\":4,\
+         \"Rules\":{{\"AnswerSlackMs\":16,\"AskWithinMs\":10000,\"ColdFrom\":0.37,\"FallMs\":1500,\
+         \"OverloadFactor\":3,\"StopSendingWithinMs\":750,\"WarmAfterMs\":8400}},\
+         \"Services\":[\
+         {{\"Name\":\"report\",\"Effect\":\"repeatable\",\"Group\":\"all\",\"GoalTimeMs\":400,\"HardLimitMs\":5000,\
+         \"LateValue\":0.3,\"Credit\":1,\"Stream\":false,\"WindowMs\":5000}},\
+         {{\"Name\":\"fund\",\"Effect\":\"by_key\",\"Group\":\"cell\",\"GoalTimeMs\":1000,\"HardLimitMs\":20000,\
+         \"LateValue\":0.25,\"Credit\":5,\"Stream\":false,\"WindowMs\":30000}},\
+         {{\"Name\":\"book\",\"Effect\":\"once\",\"Group\":\"all\",\"GoalTimeMs\":800,\"HardLimitMs\":5000,\
+         \"LateValue\":0.3,\"Credit\":1,\"Stream\":false,\"WindowMs\":0}}],\
+         \"Siblings\":1,\
+         \"Specifics\":{{\"ClassKind\":[-1,-1,-1],\"ClassPriority\":[0,0,0],\"ClassStretch\":[1.75,2,2],\
+         \"ProgressMs\":0,\"QueueOrder\":\"fifo\",\"ReportX0\":\"free slots\",\"TellsStart\":false}},\
+         \"Stage\":0,\"Tiers\":[\"workers\"],\"Weights\":\"off\",\"WorthBy\":\"work\",\"Zones\":[\"a\"]}}"
+    )
+}
+
+/// Counts and reports the jobs that had no whole answer half a second after their time.
+pub fn lost(record: &Record, outcomes: &[Outcome]) -> usize {
+    let mut lost = 0;
+    for outcome in outcomes {
+        let due = outcome.sent_at + outcome.expires_ms as f64 + 500.0;
+        if outcome.answer.is_some_and(|(at, _)| at <= due) {
+            continue;
+        }
+        lost += 1;
+        if lost <= 5 {
+            let end = match outcome.answer {
+                Some((at, status)) => format!("answer {status} after {:.0} ms", at - outcome.sent_at),
+                None => outcome.end.to_string(),
+            };
+            record.say(&format!("lost: job {} with {} ms to wait: {end}", outcome.id, outcome.expires_ms));
+        }
+    }
+    let foreign = outcomes.iter().filter(|outcome| outcome.is_foreign()).count();
+    record.say(&format!("jobs={} lost={lost} foreign={foreign}", outcomes.len()));
+    lost + foreign
+}
+
+/// A free address other than `first`.
+pub fn other_address(first: SocketAddr) -> io::Result<SocketAddr> {
+    loop {
+        let address = free_address()?;
+        if address != first {
+            return Ok(address);
+        }
+    }
+}
+
+/// Creates a folder for the files of a run.
+pub fn temporary_folder(name: &str) -> io::Result<PathBuf> {
+    let folder = std::env::temp_dir().join(format!("review-{name}-{}-{}", std::process::id(), unix_ms()));
+    std::fs::create_dir_all(&folder)?;
+    Ok(folder)
+}
+
+/// A small deployment: one scheduler, its discovery and some workers.
+pub struct Site {
+    pub scheduler: Scheduler,
+    pub workers: Vec<Worker>,
+    pub listen: SocketAddr,
+    tmp: PathBuf,
+}
+
+impl Site {
+    pub fn start(
+        record: &Record,
+        name: &str,
+        workers: usize,
+        sockets: u32,
+        memory_mb: u32,
+        settings: String,
+    ) -> io::Result<Site> {
+        let listen = free_address()?;
+        let mgmt = other_address(listen)?;
+        let discovery = Discovery::start(record)?;
+        let mut started = Vec::new();
+        for number in 0..workers {
+            let id = format!("s-{number}");
+            let worker = Worker::start(&id, 5, listen, record)?;
+            discovery.set(&id, worker.addr, (number / 2) as u16, "up", 0);
+            started.push(worker);
+        }
+        let tmp = temporary_folder(name)?;
+        let plan = Plan {
+            listen,
+            mgmt,
+            discovery: discovery.addr,
+            memory_mb,
+            sockets,
+            known: discovery.whole(),
+            settings,
+        };
+        let scheduler = Scheduler::start(&plan, &tmp)?;
+        let mut site = Site { scheduler, workers: started, listen, tmp };
+        site.scheduler.wait_until_up(Duration::from_secs(15))?;
+        record.line("scheduler up");
+        Ok(site)
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.tmp.join("log")).unwrap_or_default()
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.scheduler.end();
+        let _ = std::fs::remove_dir_all(&self.tmp);
+    }
+}
