--- a/review/standins/src/cases/crowd.rs
+++ b/review/standins/src/cases/crowd.rs
@@ -1,6 +1,6 @@
 //! Hundreds of clients send half a request and stay, while ordinary clients send jobs.
 
-use super::{lost, settings, Site};
+use super::{lost, settings, Limits, Site};
 use crate::client::{Client, Job, Outcome};
 use crate::record::Record;
 use std::io::{self, Write};
@@ -17,7 +17,7 @@
     b"POST /report HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: half\r\nX-Expires-In: 5000m\r\nContent-Le";
 
 pub fn run(record: &Record, trouble: bool) -> io::Result<bool> {
-    let mut site = Site::start(record, "crowd", 4, 256, 192, settings())?;
+    let mut site = Site::start(record, "crowd", 4, Limits { sockets: 256, memory_mb: 192 }, settings())?;
     let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
     let listen = site.listen;
     let mut threads = Vec::new();
@@ -30,6 +30,7 @@
                 let job = Job {
                     class: "report",
                     id: format!("c{client:02}-{number:02}"),
+                    key: None,
                     expires_ms: 1_000,
                     micros: 200_000,
                 };
@@ -53,9 +54,7 @@
     for thread in threads {
         let _ = thread.join();
     }
-    if let Some(status) = site.scheduler.ended() {
-        return Err(io::Error::other(format!("the scheduler has ended: {status}")));
-    }
+    site.check_running()?;
     let lost = lost(record, &outcomes.lock().unwrap());
     record.line(&site.log());
     Ok(lost == 0)
--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod crowd;
 mod direct;
 mod report;
+mod window;
 
 use crate::client::Outcome;
 use crate::discovery::{unix_ms, Discovery};
@@ -22,17 +23,23 @@
         "crowd" => crowd::run(&record, trouble),
         "report" => report::run(&record, trouble),
         "direct" => direct::run(&record, trouble),
+        "window" => window::run(&record, trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
 
 /// The settings of a small deployment: three classes, one of each effect.
 pub fn settings() -> String {
+    settings_with(100, 30_000, true)
+}
+
+/// The same with this connect time-out, this window for repeats of the keyed class, and probes or none.
+pub fn settings_with(connect_timeout_ms: u32, window_ms: u32, probes: bool) -> String {
     format!(
         "{{\"Clients\":{{\"MarksRetry\":false}},\"Discovery\":\"ask\",\"DomainType\":\"jobs\",\"Me\":0,\
          \"Models\":[\"m\"],\"MyZone\":0,\
-         \"Permissions\":{{\"Cancel\":true,\"ConnectTimeoutMs\":100,\"KeepaliveMs\":5000,\"MaxAttempts\":5,\
-         \"MaxOpen\":20000,\"MaxRetryAfterMs\":2000,\"MaxStreams\":1,\"Peers\":false,\"Probes\":true,\
+         \"Permissions\":{{\"Cancel\":true,\"ConnectTimeoutMs\":{connect_timeout_ms},\"KeepaliveMs\":5000,\"MaxAttempts\":5,\
+         \"MaxOpen\":20000,\"MaxRetryAfterMs\":2000,\"MaxStreams\":1,\"Peers\":false,\"Probes\":{probes},\
          \"RetryAfter\":true,\"SecondCopies\":true}},\
          \"Realms\":[],\"Report\":{{\"Fields\":[\"concurrent\",\"x0\"],\"Source\":\"inline\"}},\"RoundMs\":4,\
          \"Rules\":{{\"AnswerSlackMs\":16,\"AskWithinMs\":10000,\"ColdFrom\":0.37,\"FallMs\":1500,\
@@ -41,7 +48,7 @@
          {{\"Name\":\"report\",\"Effect\":\"repeatable\",\"Group\":\"all\",\"GoalTimeMs\":400,\"HardLimitMs\":5000,\
          \"LateValue\":0.3,\"Credit\":1,\"Stream\":false,\"WindowMs\":5000}},\
          {{\"Name\":\"fund\",\"Effect\":\"by_key\",\"Group\":\"cell\",\"GoalTimeMs\":1000,\"HardLimitMs\":20000,\
-         \"LateValue\":0.25,\"Credit\":5,\"Stream\":false,\"WindowMs\":30000}},\
+         \"LateValue\":0.25,\"Credit\":5,\"Stream\":false,\"WindowMs\":{window_ms}}},\
          {{\"Name\":\"book\",\"Effect\":\"once\",\"Group\":\"all\",\"GoalTimeMs\":800,\"HardLimitMs\":5000,\
          \"LateValue\":0.3,\"Credit\":1,\"Stream\":false,\"WindowMs\":0}}],\
          \"Siblings\":1,\
@@ -90,6 +97,12 @@
     Ok(folder)
 }
 
+/// The limits that the configuration states.
+pub struct Limits {
+    pub sockets: u32,
+    pub memory_mb: u32,
+}
+
 /// A small deployment: one scheduler, its discovery and some workers.
 pub struct Site {
     pub scheduler: Scheduler,
@@ -99,41 +112,65 @@
 }
 
 impl Site {
+    /// Starts a scheduler with this number of workers that run jobs.
     pub fn start(
         record: &Record,
         name: &str,
         workers: usize,
-        sockets: u32,
-        memory_mb: u32,
+        limits: Limits,
         settings: String,
     ) -> io::Result<Site> {
         let listen = free_address()?;
-        let mgmt = other_address(listen)?;
-        let discovery = Discovery::start(record)?;
         let mut started = Vec::new();
         for number in 0..workers {
-            let id = format!("s-{number}");
-            let worker = Worker::start(&id, 5, listen, record)?;
-            discovery.set(&id, worker.addr, (number / 2) as u16, "up", 0);
-            started.push(worker);
+            started.push(Worker::start(&format!("s-{number}"), 5, listen, record)?);
+        }
+        let listed: Vec<(String, SocketAddr)> =
+            started.iter().map(|worker| (worker.id.clone(), worker.addr)).collect();
+        let mut site = Site::start_at(record, name, listen, &listed, limits, settings)?;
+        site.workers = started;
+        Ok(site)
+    }
+
+    /// Starts a scheduler for these workers; two each form a cell.
+    pub fn start_at(
+        record: &Record,
+        name: &str,
+        listen: SocketAddr,
+        listed: &[(String, SocketAddr)],
+        limits: Limits,
+        settings: String,
+    ) -> io::Result<Site> {
+        let mgmt = other_address(listen)?;
+        let discovery = Discovery::start(record)?;
+        for (number, (id, addr)) in listed.iter().enumerate() {
+            discovery.set(id, *addr, (number / 2) as u16, "up", 0);
         }
         let tmp = temporary_folder(name)?;
         let plan = Plan {
             listen,
             mgmt,
             discovery: discovery.addr,
-            memory_mb,
-            sockets,
+            memory_mb: limits.memory_mb,
+            sockets: limits.sockets,
             known: discovery.whole(),
             settings,
         };
         let scheduler = Scheduler::start(&plan, &tmp)?;
-        let mut site = Site { scheduler, workers: started, listen, tmp };
+        let mut site = Site { scheduler, workers: Vec::new(), listen, tmp };
         site.scheduler.wait_until_up(Duration::from_secs(15))?;
         record.line("scheduler up");
         Ok(site)
     }
 
+    /// Fails if the scheduler has ended.
+    pub fn check_running(&mut self) -> io::Result<()> {
+        match self.scheduler.ended() {
+            Some(status) => Err(io::Error::other(format!("the scheduler has ended: {status}"))),
+            None => Ok(()),
+        }
+    }
+
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.tmp.join("log")).unwrap_or_default()
     }
--- a/review/standins/src/cases/report.rs
+++ b/review/standins/src/cases/report.rs
@@ -1,6 +1,6 @@
 //! One worker tells one load report with a wrong number of free slots, while clients send jobs.
 
-use super::{lost, settings, Site};
+use super::{lost, settings, Limits, Site};
 use crate::client::{Client, Job, Outcome};
 use crate::record::Record;
 use std::io;
@@ -16,7 +16,8 @@
 const SPOILT_FREE_SLOTS: u32 = u32::MAX;
 
 pub fn run(record: &Record, trouble: bool) -> io::Result<bool> {
-    let mut site = Site::start(record, "report", 4, 1024, MEMORY_MB, settings())?;
+    let mut site =
+        Site::start(record, "report", 4, Limits { sockets: 1024, memory_mb: MEMORY_MB }, settings())?;
     let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
     let listen = site.listen;
     let mut threads = Vec::new();
@@ -28,6 +29,7 @@
                 let job = Job {
                     class: if client % 2 == 0 { "report" } else { "book" },
                     id: format!("c{client:02}-{number:02}"),
+                    key: None,
                     expires_ms: 5_000,
                     micros: 300_000,
                 };
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -12,6 +12,8 @@
 pub struct Job {
     pub class: &'static str,
     pub id: String,
+    /// The key of a job of a keyed class.
+    pub key: Option<String>,
     pub expires_ms: u64,
     /// Running time, which workers read from `X-Size-Hint`.
     pub micros: u64,
@@ -52,8 +54,12 @@
     /// Sends a job and waits for its answer until `patience_ms` after its time. A connection that is closed
     /// without an answer is followed by one more try on a new connection, as the protocol page says.
     pub fn send(&mut self, job: &Job, patience_ms: u64) -> Outcome {
+        let key = match &job.key {
+            Some(key) => format!("Idempotency-Key: {key}\r\n"),
+            None => String::new(),
+        };
         let headers = format!(
-            "Host: origin.svc\r\nX-Trace-Id: {}\r\nX-Qos: {}\r\nX-Expires-In: {}m\r\nX-Size-Hint: {}\r\n",
+            "Host: origin.svc\r\nX-Trace-Id: {}\r\nX-Qos: {}\r\nX-Expires-In: {}m\r\nX-Size-Hint: {}\r\n{key}",
             job.id, job.class, job.expires_ms, job.micros
         );
         let bytes = request(&format!("POST /{}", job.class), &headers, b"work");
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -57,6 +57,15 @@
         self.stream.write_all(bytes)
     }
 
+    /// Waits for the first byte of the next message; false: the peer has closed the connection.
+    pub fn wait_for_first_byte(&mut self) -> io::Result<bool> {
+        if !self.buffer.is_empty() {
+            return Ok(true);
+        }
+        self.stream.set_read_timeout(None)?;
+        Ok(self.stream.peek(&mut [0])? > 0)
+    }
+
     /// Reads the next message. `Ok(None)`: the peer has closed the connection before a whole message.
     /// The error kind is `TimedOut` if the message is not complete by `until`.
     pub fn read(&mut self, until: Option<Instant>) -> io::Result<Option<Message>> {
