--- a/review/standins/src/cases/direct.rs
+++ b/review/standins/src/cases/direct.rs
@@ -3,9 +3,10 @@
 use super::{other_address, temporary_folder};
 use crate::http::{request, response, Conn};
 use crate::record::Record;
-use crate::scheduler::{call, free_address, run_command, Process};
+use crate::scheduler::{call, free_address, run_command, Process, SIGHUP, SIGTERM};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -49,33 +50,82 @@
     format!("this is the answer to {path}")
 }
 
-pub fn run(record: &Record, trouble: bool) -> io::Result<bool> {
-    let twice = Arc::new(AtomicBool::new(false));
-    let workers = [start_worker("w1", &twice, record)?, start_worker("w2", &twice, record)?];
-    let listen = free_address()?;
-    let mgmt = other_address(listen)?;
-    let folder = temporary_folder("direct")?;
-    let setup = folder.join("setup.xml");
+/// A scheduler with a standalone setup of one pool.
+pub struct Standalone {
+    process: Process,
+    pub listen: SocketAddr,
+    mgmt: SocketAddr,
+    folder: PathBuf,
+}
+
+impl Standalone {
+    pub fn start(name: &str, workers: &[SocketAddr]) -> io::Result<Standalone> {
+        let listen = free_address()?;
+        let mgmt = other_address(listen)?;
+        let folder = temporary_folder(name)?;
+        write_setup(&folder, listen, mgmt, workers)?;
+        let command = format!("{} --setup {}", run_command()?, folder.join("setup.xml").display());
+        let process = Process::start(&command, &[], &folder, &folder.join("log"))?;
+        let until = Instant::now() + Duration::from_secs(10);
+        while !call(mgmt, "GET /healthcheck").is_ok_and(|answer| answer.status() == 200) {
+            if Instant::now() > until {
+                return Err(io::Error::other("the scheduler is not ready"));
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        Ok(Standalone { process, listen, mgmt, folder })
+    }
+
+    pub fn write_setup(&self, workers: &[SocketAddr]) -> io::Result<()> {
+        write_setup(&self.folder, self.listen, self.mgmt, workers)
+    }
+
+    pub fn hang_up(&self) {
+        self.process.signal(SIGHUP);
+    }
+
+    pub fn terminate(&self) {
+        self.process.signal(SIGTERM);
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+    }
+}
+
+impl Drop for Standalone {
+    fn drop(&mut self) {
+        self.process.end();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn write_setup(
+    folder: &Path,
+    listen: SocketAddr,
+    mgmt: SocketAddr,
+    workers: &[SocketAddr],
+) -> io::Result<()> {
+    let mut listed = String::new();
+    for (number, addr) in workers.iter().enumerate() {
+        listed += &format!("    <worker id=\"w{}\" addr=\"{addr}\"/>\n", number + 1);
+    }
     std::fs::write(
-        &setup,
+        folder.join("setup.xml"),
         format!(
-            "<postusher listen=\"{listen}\" mgmt=\"{mgmt}\">\n  <pool name=\"a\" answers=\"direct\">\n    \
-             <worker id=\"w1\" addr=\"{}\"/>\n    <worker id=\"w2\" addr=\"{}\"/>\n  </pool>\n</postusher>\n",
-            workers[0], workers[1]
+            "<postusher listen=\"{listen}\" mgmt=\"{mgmt}\">\n  <pool name=\"a\" answers=\"direct\">\n{listed}  </pool>\n\
+             </postusher>\n"
         ),
-    )?;
-    let command = format!("{} --setup {}", run_command()?, setup.display());
-    let process = Process::start(&command, &[], &folder, &folder.join("log"))?;
-    let until = Instant::now() + Duration::from_secs(10);
-    while !call(mgmt, "GET /healthcheck").is_ok_and(|answer| answer.status() == 200) {
-        if Instant::now() > until {
-            return Err(io::Error::other("the scheduler is not ready"));
-        }
-        thread::sleep(Duration::from_millis(50));
-    }
+    )
+}
+
+pub fn run(record: &Record, trouble: bool) -> io::Result<bool> {
+    let twice = Arc::new(AtomicBool::new(false));
+    let workers = [start_worker("w1", &twice, record)?, start_worker("w2", &twice, record)?];
+    let site = Standalone::start("direct", &workers)?;
     let mut conns = Vec::new();
     for _ in 0..CLIENTS {
-        conns.push(Conn::connect(listen, Duration::from_secs(1))?);
+        conns.push(Conn::connect(site.listen, Duration::from_secs(1))?);
     }
     // The clients take turns, so that each answer belongs to the only request that is open.
     let mut foreign = 0;
@@ -99,9 +149,7 @@
             thread::sleep(Duration::from_millis(25));
         }
     }
-    drop(process);
-    record.line(&std::fs::read_to_string(folder.join("log")).unwrap_or_default());
+    record.line(&site.log());
     record.say(&format!("requests={} foreign answers={foreign}", CLIENTS * REQUESTS_EACH));
-    let _ = std::fs::remove_dir_all(&folder);
     Ok(foreign == 0)
 }
--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -1,7 +1,9 @@
 //! The cases. Each starts a small deployment, with or without its disruption, and checks one rule.
 
 mod crowd;
+mod cut;
 mod direct;
+mod moved;
 mod report;
 mod window;
 
@@ -24,6 +26,9 @@
         "report" => report::run(&record, trouble),
         "direct" => direct::run(&record, trouble),
         "window" => window::run(&record, trouble),
+        // Not cases, as there are to be three at most: the report names them.
+        "cut" => cut::run(&record, trouble),
+        "moved" => moved::run(&record, trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
--- a/review/standins/src/scheduler.rs
+++ b/review/standins/src/scheduler.rs
@@ -11,11 +11,14 @@
 use std::time::{Duration, Instant};
 
 extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, argument: u64) -> i32;
 }
 
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
+pub const SIGHUP: i32 = 1;
+pub const SIGTERM: i32 = 15;
 
 /// What the configuration of a scheduler says.
 pub struct Plan {
@@ -103,7 +106,11 @@
         self.child.try_wait().ok().flatten().map(|status| status.to_string())
     }
 
-    fn end(&mut self) {
+    pub fn signal(&self, signal: i32) {
+        unsafe { kill(self.child.id() as i32, signal) };
+    }
+
+    pub fn end(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
