--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod crowd;
 mod cut;
 mod direct;
+mod flood;
 mod moved;
 mod report;
 mod window;
@@ -24,6 +25,7 @@
     match case {
         "crowd" => crowd::run(&record, trouble),
         "report" => report::run(&record, trouble),
+        "flood" => flood::run(&record, trouble),
         "direct" => direct::run(&record, trouble),
         "window" => window::run(&record, trouble),
         // Not cases, as there are to be three at most: the report names them.
