--- a/review/standins/src/cases/direct.rs
+++ b/review/standins/src/cases/direct.rs
@@ -60,11 +60,16 @@
 
 impl Standalone {
     pub fn start(name: &str, workers: &[SocketAddr]) -> io::Result<Standalone> {
+        Standalone::start_after("", name, workers)
+    }
+
+    /// Starts it after this shell command.
+    pub fn start_after(first: &str, name: &str, workers: &[SocketAddr]) -> io::Result<Standalone> {
         let listen = free_address()?;
         let mgmt = other_address(listen)?;
         let folder = temporary_folder(name)?;
         write_setup(&folder, listen, mgmt, workers)?;
-        let command = format!("{} --setup {}", run_command()?, folder.join("setup.xml").display());
+        let command = format!("{first}{} --setup {}", run_command()?, folder.join("setup.xml").display());
         let process = Process::start(&command, &[], &folder, &folder.join("log"))?;
         let until = Instant::now() + Duration::from_secs(10);
         while !call(mgmt, "GET /healthcheck").is_ok_and(|answer| answer.status() == 200) {
@@ -88,6 +93,10 @@
         self.process.signal(SIGTERM);
     }
 
+    pub fn descriptors(&self) -> usize {
+        self.process.descriptors()
+    }
+
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
     }
--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -6,6 +6,8 @@
 mod flood;
 mod moved;
 mod report;
+mod slow_list;
+mod stuck;
 mod window;
 
 use crate::client::Outcome;
@@ -31,6 +33,8 @@
         // Not cases, as there are to be three at most: the report names them.
         "cut" => cut::run(&record, trouble),
         "moved" => moved::run(&record, trouble),
+        "slow-list" => slow_list::run(&record, trouble),
+        "stuck" => stuck::run(&record, trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -149,7 +153,7 @@
         settings: String,
     ) -> io::Result<Site> {
         let mgmt = other_address(listen)?;
-        let discovery = Discovery::start(record)?;
+        let discovery = Discovery::start(record, Duration::ZERO)?;
         for (number, (id, addr)) in listed.iter().enumerate() {
             discovery.set(id, *addr, (number / 2) as u16, "up", 0);
         }
@@ -163,7 +167,7 @@
             known: discovery.whole(),
             settings,
         };
-        let scheduler = Scheduler::start(&plan, &tmp)?;
+        let scheduler = Scheduler::start(plan, &tmp)?;
         let mut site = Site { scheduler, workers: Vec::new(), listen, tmp };
         site.scheduler.wait_until_up(Duration::from_secs(15))?;
         record.line("scheduler up");
--- a/review/standins/src/discovery.rs
+++ b/review/standins/src/discovery.rs
@@ -27,6 +27,8 @@
 pub struct Discovery {
     pub addr: SocketAddr,
     shared: Arc<(Mutex<State>, Condvar)>,
+    /// How long each answer takes, beside the time for which a watch waits.
+    delay: Duration,
     record: Record,
 }
 
@@ -36,12 +38,13 @@
 }
 
 impl Discovery {
-    pub fn start(record: &Record) -> std::io::Result<Discovery> {
+    pub fn start(record: &Record, delay: Duration) -> std::io::Result<Discovery> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let state = State { version: 40, entries: Vec::new() };
         let discovery = Discovery {
             addr: listener.local_addr()?,
             shared: Arc::new((Mutex::new(state), Condvar::new())),
+            delay,
             record: record.clone(),
         };
         let service = discovery.clone();
@@ -83,6 +86,7 @@
                 None => self.whole(),
                 Some(after) => self.changes(after, wait),
             };
+            thread::sleep(self.delay);
             self.record.line(&format!("discovery call={target} answer={body}"));
             if conn.send(&response(200, "Content-Type: application/json\r\n", body.as_bytes())).is_err() {
                 return;
--- a/review/standins/src/scheduler.rs
+++ b/review/standins/src/scheduler.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::process::CommandExt;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -41,7 +41,8 @@
 /// A scheduler that serves the platform's protocol.
 pub struct Scheduler {
     process: Process,
-    listen: SocketAddr,
+    plan: Plan,
+    config: PathBuf,
 }
 
 /// An address with a free port on a loopback host that this run alone uses: another process could take a port of
@@ -106,6 +107,10 @@
         self.child.try_wait().ok().flatten().map(|status| status.to_string())
     }
 
+    pub fn descriptors(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, |entries| entries.count())
+    }
+
     pub fn signal(&self, signal: i32) {
         unsafe { kill(self.child.id() as i32, signal) };
     }
@@ -124,7 +129,7 @@
 
 impl Scheduler {
     /// Starts a scheduler. `folder` gets its files.
-    pub fn start(plan: &Plan, folder: &Path) -> io::Result<Scheduler> {
+    pub fn start(plan: Plan, folder: &Path) -> io::Result<Scheduler> {
         let config = folder.join("config.json");
         fs::write(&config, plan.json())?;
         let tmp = folder.join("tmp");
@@ -137,7 +142,15 @@
             ("NODE_CONFIG", config.display().to_string()),
         ];
         let process = Process::start(&run_command()?, &env, &tmp, &folder.join("log"))?;
-        Ok(Scheduler { process, listen: plan.listen })
+        Ok(Scheduler { process, plan, config })
+    }
+
+    /// Replaces the configuration by one with this address of discovery, and sends SIGHUP.
+    pub fn move_discovery(&mut self, discovery: SocketAddr) -> io::Result<()> {
+        self.plan.discovery = discovery;
+        fs::write(&self.config, self.plan.json())?;
+        self.process.signal(SIGHUP);
+        Ok(())
     }
 
     pub fn kill(&mut self) {
@@ -159,7 +172,7 @@
             if let Some(status) = self.ended() {
                 return Err(io::Error::other(format!("the scheduler has ended: {status}")));
             }
-            if call(self.listen, "GET /up").is_ok_and(|answer| answer.status() == 200) {
+            if call(self.plan.listen, "GET /up").is_ok_and(|answer| answer.status() == 200) {
                 return Ok(());
             }
             thread::sleep(Duration::from_millis(100));
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -26,6 +26,8 @@
     news: Arc<Mutex<Option<Conn>>>,
     /// The free slots that the next load report names in place of the true number.
     spoilt_report: Arc<Mutex<Option<u32>>>,
+    /// When the worker got its attempts, in milliseconds since the start of the run.
+    pub attempts: Arc<Mutex<Vec<f64>>>,
     record: Record,
 }
 
@@ -41,6 +43,7 @@
             state: Arc::new((Mutex::new(state), Condvar::new())),
             news: Arc::new(Mutex::new(None)),
             spoilt_report: Arc::new(Mutex::new(None)),
+            attempts: Arc::default(),
             record: record.clone(),
         };
         let service = worker.clone();
@@ -87,6 +90,7 @@
 
     fn take(&self, message: &Message) -> Vec<u8> {
         let Some(id) = message.header("X-Trace-Id").map(String::from) else { return response(404, "", b"") };
+        self.attempts.lock().unwrap().push(self.record.now());
         let expires = message.header("X-Expires-In").unwrap_or("").to_string();
         self.record.line(&format!("worker={} attempt id={id} expires={expires}", self.id));
         let micros: u64 = message.header("X-Size-Hint").and_then(|text| text.parse().ok()).unwrap_or(200_000);
