--- a/review/standins-2/memory.rs
+++ b/review/standins-2/memory.rs
@@ -1,4 +1,4 @@
-//! Cases in which the platform kills a scheduler for its memory.
+//! Cases of bad clients and spoilt answers: the memory of a scheduler, and its descriptors.
 
 use crate::kit::*;
 use std::io::Write;
@@ -122,6 +122,59 @@
     judge(&site, &mut scheduler, &outcomes, peak, was_killed)
 }
 
+/// Time after its deadline up to which an answer is only worth nothing.
+const LATE_MS: f64 = 500.0;
+
+/// Clients that stop in the middle of a request and stay hold the descriptors.
+pub fn crowd(folder: &Path) -> i32 {
+    let plan: Plan = Arc::new(|_, _| Treatment { run_ms: 150, report_x0: None });
+    let site = Site::new(folder, 1, 10, &Settings::lowell(2), plan);
+    let tmpdir = site.tmpdir("tmp");
+    let mut start = site.start(0, &tmpdir, "a", &Settings::lowell(2));
+    start.sockets = 256;
+    let mut scheduler = Scheduler::start(&start);
+    if !wait_ready(site.listen[0], 10_000) {
+        return 2;
+    }
+    let load = Load::start(&site.record, &site.listen, 20, |_| ("aging-report", 1_000));
+    sleep_ms(4_000);
+    let mut held = Vec::new();
+    if trouble() {
+        site.record.line("256 clients each send the half of a request and stay");
+        let request = job_request("aging-report", &new_id(), 5_000, "0123456789");
+        for _ in 0..256 {
+            if let Ok(mut stream) = TcpStream::connect(site.listen[0]) {
+                let _ = stream.write_all(&request.as_bytes()[..request.len() - 5]);
+                held.push(stream);
+            }
+        }
+        site.record.line(format!("sent by {}", held.len()));
+    }
+    sleep_ms(6_000);
+    let outcomes = load.finish();
+    let counts = summarize(&site.record, &outcomes);
+    let mut lost = 0;
+    for outcome in &outcomes {
+        let late_ms = outcome.ended_at - outcome.sent_at - outcome.expires_ms as f64;
+        if outcome.status == 0 || late_ms > LATE_MS + 50.0 {
+            lost += 1;
+            site.record.line(format!(
+                "LOST id={} status={} {late_ms:.0} ms after its time",
+                outcome.id, outcome.status
+            ));
+        }
+    }
+    let alive = scheduler.is_alive();
+    scheduler.end();
+    site.close(&[&scheduler]);
+    site.record.line(format!("usual requests={} lost={lost}", outcomes.len()));
+    site.record.line(if lost > 0 { "RULE BROKEN: taken requests were lost" } else { "rule held" });
+    if !alive || counts.get(&200).copied().unwrap_or(0) < 50 {
+        return 2;
+    }
+    i32::from(lost > 0)
+}
+
 fn send_halves(address: SocketAddr, count: usize, held: &Mutex<Vec<TcpStream>>) {
     for _ in 0..count {
         // The body comes in chunks; the first one is complete, the next one never comes.
