Review case 9: a third attempt while the second runs, without second copies

A connection ends under a request and the worker runs it nevertheless; its message about the first attempt ends the second one in the scheduler, which sends a third.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# New configurations in quick succession while discovery is slow. TROUBLE=0: no new configuration.
+# A connection to a worker ends under a request. TROUBLE=0: none does.
 cd "$(dirname "$0")" || exit 2
 [ -x ../standins-2/target/cases ] || exit 2
-exec ../standins-2/target/cases configurations .
+exec ../standins-2/target/cases copies .
