--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -452,8 +452,11 @@
             scheduler,
             id: request.header("X-Trace-Id").unwrap_or("").into(),
         };
-        self.record
-            .line(format!("attempt worker={} scheduler={scheduler} id={}", attempt.worker, attempt.id));
+        let left = request.header("X-Expires-In").unwrap_or("");
+        self.record.line(format!(
+            "attempt worker={} scheduler={scheduler} id={} left={left}",
+            attempt.worker, attempt.id
+        ));
         self.attempts.lock().unwrap().push(attempt);
         let mut slots = self.slots.lock().unwrap();
         slots.queue.push_back((scheduler, request));
