Refuse load reports with values that no worker can have

Cause: the number of free slots in a load report had no upper bound. By the machine kind it became the slot count of every worker of that kind, with two tokens for each slot and 8 bytes for each token.

Change: each field has a maximum (Settings::check_report). A report beyond it is refused as a whole by the decision module; the program also logs worker, field and value, at a limited rate, and counts invalid_reports. The estimates of the last valid report stay. The parsing of the three carriers of reports is one module now. A JSON number that its type cannot hold (1e999) made the whole update unreadable and lost the result beside it; it only refuses the report now. Numbers of slots in the learned state of an upgrade are limited, too. The warning of a descriptor shortage uses the same rate limit.

Why this works: the memory for tokens follows from the reported slots alone, and these are at most 1,024 now. Values within the bounds are handled as before.

--- a/crates/decision/src/interface/mod.rs
+++ b/crates/decision/src/interface/mod.rs
@@ -6,13 +6,15 @@
 mod endpoint;
 mod event;
 mod learned;
+mod load_report;
 mod settings;
 
 pub use attempt::{AttemptContext, AttemptId, AttemptOutcome, AttemptResult, PriorAttempt, SendDenial};
 pub use endpoint::{Endpoint, EndpointState, FreeCapacity, ListUpdate};
 pub use event::{Action, Event, Job};
 pub use learned::{ClassEstimates, LearnedState, WorkerHistory};
-pub use settings::{Class, Customer, DeduplicationScope, Idempotency, ReportField, Settings};
+pub use load_report::{InvalidReport, ReportField};
+pub use settings::{Class, Customer, DeduplicationScope, Idempotency, Settings, MAX_SLOTS};
 
 /// A point in time or a duration, in microseconds.
 pub type Micros = u64;
--- a/crates/decision/src/interface/settings.rs
+++ b/crates/decision/src/interface/settings.rs
@@ -1,6 +1,9 @@
 //! The settings of a dispatcher: classes of jobs, customers, report fields and limits.
 
-use super::{AttemptResult, Micros};
+use super::{AttemptResult, Micros, ReportField};
+
+/// Largest number of slots of a machine, and of a job.
+pub const MAX_SLOTS: u32 = 1024;
 
 /// Which workers deduplicate a retry of a job with an idempotency key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,19 +60,6 @@
     pub quota_per_second: f64,
 }
 
-/// A field of a worker's load report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReportField {
-    /// Number of slots without a job.
-    FreeSlots,
-    /// Number of queued jobs.
-    QueueLength,
-    /// Number of jobs at the worker, queued ones included.
-    Jobs,
-    /// A field that is not used.
-    Unused,
-}
-
 /// The settings of a dispatcher.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -90,6 +80,8 @@
     pub drain_grace: Micros,
     /// The fields of a load report, in order.
     pub report_fields: Vec<ReportField>,
+    /// Largest number of slots of a worker; a load report with more free slots is invalid.
+    pub max_worker_slots: u32,
     /// Whether load reports come only with health checks, not with answers.
     pub reports_by_health_check_only: bool,
     /// Number of this scheduler's zone.
@@ -152,6 +144,7 @@
             poll_interval: 10_000_000,
             drain_grace: 500_000,
             report_fields: Vec::new(),
+            max_worker_slots: MAX_SLOTS,
             reports_by_health_check_only: false,
             zone: 0,
             cross_zone_cost: 0.0,
@@ -223,10 +216,4 @@
             | AttemptResult::Cancelled => true,
         }
     }
-
-    /// Returns a field of a load report, if it is present and is a finite number of at least 0.
-    pub(crate) fn report_value(&self, field: ReportField, report: &[f64]) -> Option<f64> {
-        let position = self.report_fields.iter().position(|f| *f == field)?;
-        report.get(position).copied().filter(|value| value.is_finite() && *value >= 0.0)
-    }
 }
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -51,6 +51,7 @@
 pub use dispatcher::Dispatcher;
 pub use interface::{
     Action, AttemptContext, AttemptId, AttemptOutcome, AttemptResult, Class, ClassEstimates, Customer,
-    DeduplicationScope, Endpoint, EndpointState, Event, FreeCapacity, Idempotency, Job, JobId, LearnedState,
-    ListUpdate, Micros, PriorAttempt, ReportField, SendDenial, Settings, WorkerHistory, WorkerId,
+    DeduplicationScope, Endpoint, EndpointState, Event, FreeCapacity, Idempotency, InvalidReport, Job, JobId,
+    LearnedState, ListUpdate, Micros, PriorAttempt, ReportField, SendDenial, Settings, WorkerHistory,
+    WorkerId, MAX_SLOTS,
 };
--- a/crates/decision/src/policy/handover.rs
+++ b/crates/decision/src/policy/handover.rs
@@ -42,7 +42,9 @@
         // The order of the fleet means is that of `learned_state`.
         let mut fleet_means = learned.fleet_means.iter().copied();
         self.durations.restore_fleet_mean(fleet_means.next().flatten());
-        self.slots.restore_mean_per_worker(fleet_means.next().flatten());
+        let max_slots = f64::from(self.settings.max_worker_slots);
+        let mean_slots = fleet_means.next().flatten().filter(|mean| (0.0..=max_slots).contains(mean));
+        self.slots.restore_mean_per_worker(mean_slots);
         self.queueing.restore(learned.queueing_delay, fleet_means);
         self.durations.restore_classes(&learned.classes);
         self.durations.restore_kinds(&learned.kinds);
@@ -60,8 +62,9 @@
 
     fn restore_history(&mut self, id: WorkerId, history: &WorkerHistory) {
         let now = self.now;
+        let max_slots = i64::from(self.settings.max_worker_slots);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.load.max_free_slots = history.max_free_slots;
+        worker.load.max_free_slots = history.max_free_slots.clamp(0, max_slots);
         worker.load.foreign_slots = history.foreign_slots;
         // A report from before the start of this process's clock counts as received at 1 us.
         worker.load.reported_at = history.report_age.map(|age| now.saturating_sub(age).max(1));
--- a/crates/decision/src/policy/load_reports.rs
+++ b/crates/decision/src/policy/load_reports.rs
@@ -33,6 +33,14 @@
 }
 
 impl Dispatcher {
+    /// Empties a load report with a value that no worker can have: the other values of such a report may be
+    /// wrong, too, and the estimates of the last valid report stay.
+    pub(super) fn drop_invalid_report(&self, report: &mut Vec<f64>) {
+        if self.settings.check_report(report).is_err() {
+            report.clear();
+        }
+    }
+
     /// Records the load report of an attempt.
     pub(super) fn record_attempt_report(&mut self, id: WorkerId, report: &[f64]) {
         self.record_report(id, report, ReportSource::Attempt);
--- a/crates/decision/src/policy/mod.rs
+++ b/crates/decision/src/policy/mod.rs
@@ -58,10 +58,14 @@
                     job.streaming = true;
                 }
             }
-            Event::AttemptEnded(outcome) => self.attempt_ended(&outcome, actions),
+            Event::AttemptEnded(mut outcome) => {
+                self.drop_invalid_report(&mut outcome.report);
+                self.attempt_ended(&outcome, actions);
+            }
             Event::ClientDisconnected(job) => self.close(job, actions),
-            Event::HealthCheckEnded { worker, result, report } => {
-                self.health_check_ended(worker, result, &report, actions)
+            Event::HealthCheckEnded { worker, result, mut report } => {
+                self.drop_invalid_report(&mut report);
+                self.health_check_ended(worker, result, &report, actions);
             }
             Event::TimerExpired(timer) => self.timer_expired(timer, actions),
         }
--- a/crates/decision/src/state/pending_job.rs
+++ b/crates/decision/src/state/pending_job.rs
@@ -1,12 +1,9 @@
 //! Jobs without a final answer or with pending attempts.
 
 use super::{Attempt, AttemptState, Worker};
-use crate::interface::{AttemptId, Class, Job, Micros, WorkerId};
+use crate::interface::{AttemptId, Class, Job, Micros, WorkerId, MAX_SLOTS};
 use std::sync::Arc;
 
-/// Upper limit of the number of slots of a job; higher values are clamped.
-const MAX_SLOTS: u32 = 1024;
-
 /// The state of the load probes that are sent for a job before its placement.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LoadProbes {
@@ -37,7 +34,7 @@
     pub submitted: Job,
     /// The class of the job.
     pub class: Arc<Class>,
-    /// Number of slots that the job needs; an attempt holds one token for each.
+    /// Number of slots that the job needs, limited to [`MAX_SLOTS`]; an attempt holds one token for each.
     pub slots: i64,
     /// The attempts in the order in which they were sent.
     pub attempts: Vec<Attempt>,
--- a/crates/node/src/direct/pool/settings.rs
+++ b/crates/node/src/direct/pool/settings.rs
@@ -30,6 +30,8 @@
             Class::new(Idempotency::NotIdempotent, objective),
         ],
         report_fields: vec![ReportField::FreeSlots],
+        // The reports come from the setup, which has its own limit.
+        max_worker_slots: u32::MAX,
         cancellation_allowed: true,
         sends_retry_after: true,
         max_retry_after: micros_from_millis(MAX_RETRY_AFTER),
--- a/crates/node/src/dispatch/attempts.rs
+++ b/crates/node/src/dispatch/attempts.rs
@@ -8,13 +8,15 @@
 use crate::endpoint_list::EndpointList;
 use crate::http::{Message, StatusLine};
 use crate::invariant::{holds, Invariant};
-use crate::job_status::{report_from_text, JobStatus, JobStatusUpdate};
+use crate::job_status::{JobStatus, JobStatusUpdate};
+use crate::load_report::{self, ReportError};
 use crate::upstream::TaskOutcome;
 use crate::worker_protocol::{LOAD_REPORT_HEADER, NEVER_RAN_HEADER};
 use postusher_decision::{
     AttemptContext, AttemptId, AttemptOutcome, AttemptResult, Event, JobId, Micros, WorkerId,
 };
 use postusher_settings::micros_from_millis;
+use std::rc::Rc;
 
 /// HTTP status with which a worker accepts an attempt; the result follows in a job status update.
 const ACCEPTED: u16 = 202;
@@ -52,7 +54,8 @@
             JobStatus::Returned => AttemptResult::Overloaded,
             JobStatus::Lost => AttemptResult::Reset,
         };
-        self.end_attempt(id, attempt_id, result, update.report, now);
+        let report = self.valid_report(&update.worker, update.report, now);
+        self.end_attempt(id, attempt_id, result, report, now);
     }
 
     /// Handles a job status update of a worker at which no attempt of the job is pending. A result is still
@@ -96,10 +99,10 @@
         let status = answer.line.status;
         if status != ACCEPTED {
             let never_ran = answer.headers.get(NEVER_RAN_HEADER) == Some("1");
-            let report = match answer.headers.get(LOAD_REPORT_HEADER) {
-                Some(text) => report_from_text(text, &self.site),
-                None => Vec::new(),
-            };
+            let text = answer.headers.get(LOAD_REPORT_HEADER).unwrap_or("");
+            let report = load_report::from_text(text, &self.site);
+            let worker = self.worker_name(id, attempt_id);
+            let report = self.valid_report(&worker, report, now);
             return self.end_attempt(id, attempt_id, rejection_result(status, never_ran), report, now);
         }
         let Some(job) = self.jobs.get_mut(&id) else { return };
@@ -113,13 +116,37 @@
         );
     }
 
+    /// Returns the name of the worker of an attempt; empty if there is no such attempt.
+    fn worker_name(&self, id: JobId, attempt: AttemptId) -> Rc<str> {
+        let attempt = self.jobs.get(&id).and_then(|job| job.attempts.get(attempt.index()));
+        attempt.map_or_else(|| "".into(), |attempt| attempt.worker_name.clone())
+    }
+
+    /// Returns a worker's load report. One that is refused is counted and logged, at a limited rate, and counts
+    /// as missing.
+    fn valid_report(&mut self, worker: &str, report: Result<Vec<f64>, ReportError>, now: Millis) -> Vec<f64> {
+        report.unwrap_or_else(|error| {
+            self.metrics.invalid_reports += 1;
+            if self.invalid_report_log_limit.allows(now) {
+                log::warn!("load report refused: worker={worker} error=\"{error}\"");
+            }
+            Vec::new()
+        })
+    }
+
     /// Handles the end of a health check; `outcome` is `None` if the worker did not answer in time.
-    pub fn health_check_ended(&mut self, worker: WorkerId, outcome: Option<TaskOutcome>) {
+    pub fn health_check_ended(
+        &mut self,
+        worker: WorkerId,
+        worker_name: &str,
+        outcome: Option<TaskOutcome>,
+        now: Millis,
+    ) {
         let mut report = Vec::new();
         let result = match outcome {
             Some(TaskOutcome::Answer(answer)) => {
                 let text = std::str::from_utf8(&answer.body).unwrap_or("");
-                report = report_from_text(text, &self.site);
+                report = self.valid_report(worker_name, load_report::from_text(text, &self.site), now);
                 if answer.line.status == HEALTHY {
                     AttemptResult::Success
                 } else {
--- a/crates/node/src/dispatch/mod.rs
+++ b/crates/node/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 use crate::deferral::DeferredJobs;
 use crate::endpoint_list::EndpointList;
 use crate::job_timers::JobTimers;
+use crate::log_limit::LogLimit;
 use crate::metrics::Metrics;
 use open_job::OpenJob;
 use postusher_decision::{AttemptId, Dispatcher, Endpoint, Event, JobId, LearnedState, ListUpdate, WorkerId};
@@ -99,6 +100,7 @@
     last_id: u32,
     /// Upper limit of the deadlines of new jobs; infinite before the shutdown.
     shutdown_deadline: Millis,
+    invalid_report_log_limit: LogLimit,
     /// The metrics of this scheduler.
     pub metrics: Metrics,
 }
@@ -120,6 +122,7 @@
             to_review: Vec::new(),
             last_id: 0,
             shutdown_deadline: f64::INFINITY,
+            invalid_report_log_limit: LogLimit::new(),
             metrics,
         }
     }
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -152,7 +152,7 @@
             accept_schedule: AcceptSchedule::WhenReady,
             listener_closes_at: None,
             sockets: Sockets::new(),
-            limits: ConnectionLimits::new(config.max_descriptors, reserved_descriptors, now),
+            limits: ConnectionLimits::new(config.max_descriptors, reserved_descriptors),
             read_buffer: vec![0; READ_BUFFER_BYTES],
             unfinished_reads: Vec::new(),
             admin,
--- a/crates/node/src/event_loop/limits.rs
+++ b/crates/node/src/event_loop/limits.rs
@@ -1,6 +1,7 @@
 //! Connection limits of a process, derived from the descriptor limit of the scheduler.
 
 use crate::clock::Millis;
+use crate::log_limit::LogLimit;
 use crate::net::ConnectionLimit;
 
 /// Number of descriptors that are not available for connections with clients and workers: standard streams,
@@ -15,8 +16,6 @@
 /// Number of downstream connections that jobs may not use, so that workers can send job status updates. If
 /// the limit of downstream connections is low, a quarter of it is reserved instead.
 const JOB_STATUS_RESERVE: usize = 16;
-/// Minimum interval between two warnings of a descriptor shortage, in milliseconds.
-const WARNING_INTERVAL: Millis = 10_000.0;
 
 /// Connection limits of a process.
 pub(super) struct ConnectionLimits {
@@ -26,19 +25,19 @@
     pub(super) downstream: ConnectionLimit,
     /// Connections to workers.
     pub(super) upstream: ConnectionLimit,
-    /// Time from which the next warning of a descriptor shortage may be logged.
-    next_warning_at: Millis,
+    /// Limit on warnings of a descriptor shortage.
+    shortage_log_limit: LogLimit,
 }
 
 impl ConnectionLimits {
     /// Creates the limits for a scheduler with a single process. `reserved` is the number of descriptors
     /// reserved for the admin interface and membership.
-    pub(super) fn new(descriptors: usize, reserved: usize, now: Millis) -> Self {
+    pub(super) fn new(descriptors: usize, reserved: usize) -> Self {
         let mut limits = ConnectionLimits {
             descriptors,
             downstream: ConnectionLimit::new(0),
             upstream: ConnectionLimit::new(0),
-            next_warning_at: now,
+            shortage_log_limit: LogLimit::new(),
         };
         limits.divide(1, reserved);
         limits
@@ -67,8 +66,7 @@
 
     /// Logs a rate-limited warning that an operation was delayed or failed for lack of a descriptor.
     pub(super) fn warn_of_descriptor_shortage(&mut self, now: Millis) {
-        if now >= self.next_warning_at {
-            self.next_warning_at = now + WARNING_INTERVAL;
+        if self.shortage_log_limit.allows(now) {
             let downstream = self.downstream.open;
             let upstream = self.upstream.open;
             log::warn!("descriptors are short: downstream={downstream} upstream={upstream}");
--- a/crates/node/src/event_loop/signals.rs
+++ b/crates/node/src/event_loop/signals.rs
@@ -91,6 +91,7 @@
         let disconnected = metrics.disconnected;
         let attempts = metrics.attempts;
         let descriptor_shortages = metrics.descriptor_shortages;
+        let invalid_reports = metrics.invalid_reports;
         let connections = self.sockets.len();
         let timers = self.timer_count();
         let denials = metrics.denial_fields();
@@ -98,7 +99,8 @@
         log::info!(
             "counters: occasion={occasion} accepted={accepted} served={served} rejected={rejected} \
              failed={failed} disconnected={disconnected} attempts={attempts} \
-             descriptor_shortages={descriptor_shortages} connections={connections} timers={timers}{denials}{violations}"
+             descriptor_shortages={descriptor_shortages} invalid_reports={invalid_reports} \
+             connections={connections} timers={timers}{denials}{violations}"
         );
     }
 }
--- a/crates/node/src/event_loop/sockets.rs
+++ b/crates/node/src/event_loop/sockets.rs
@@ -174,7 +174,7 @@
             Role::Upstream(connection) => match connection.task() {
                 Some(Task::HealthCheck(worker)) if connection.is_up() => {
                     self.close(id);
-                    self.dispatch.health_check_ended(worker, None);
+                    self.health_check_ended(worker, None, now);
                 }
                 None | Some(Task::Cancellation) => self.close(id),
                 // The connect timed out, or the worker did not accept the job in time.
--- a/crates/node/src/event_loop/upstreams.rs
+++ b/crates/node/src/event_loop/upstreams.rs
@@ -180,11 +180,18 @@
                 self.pool.attempts.remove(&(job, attempt));
                 self.dispatch.attempt_sent(job, attempt, outcome, now);
             }
-            Task::HealthCheck(worker) => self.dispatch.health_check_ended(worker, Some(outcome)),
+            Task::HealthCheck(worker) => self.health_check_ended(worker, Some(outcome), now),
             Task::Cancellation => log::debug!("cancellation ended: worker={worker:?} end={outcome:?}"),
         }
     }
 
+    /// Reports the end of a health check to the dispatcher; `outcome` is `None` if the worker did not answer in
+    /// time.
+    pub(super) fn health_check_ended(&mut self, worker: WorkerId, outcome: Option<TaskOutcome>, now: Millis) {
+        let name = self.endpoints.get(worker).map_or("", |listed| &listed.name);
+        self.dispatch.health_check_ended(worker, name, outcome, now);
+    }
+
     /// Abandons an attempt that its worker has not accepted yet. If a part of its request has been written,
     /// the connection is closed.
     pub(super) fn abandon_attempt(&mut self, job: JobId, attempt: AttemptId) {
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -11,7 +11,7 @@
     CLASS_HEADER, CUSTOMER_HEADER, EXPIRY_HEADER, IDEMPOTENCY_KEY_HEADER, JOB_STATUS_PATH, KEY_HEADER,
     PROPERTIES_HEADER, READINESS_PATH, SIZE_HINT_HEADER, SLOTS_PROPERTY, TRACE_ID_HEADER,
 };
-use postusher_decision::{Idempotency, Micros};
+use postusher_decision::{Idempotency, Micros, MAX_SLOTS};
 use postusher_settings::{micros_from_millis, NamedClass, SiteSettings};
 
 mod error;
@@ -23,8 +23,6 @@
 /// Number that stands for every customer that the settings do not name; their jobs are accepted without a
 /// quota.
 pub const UNKNOWN_CUSTOMER: u16 = u16::MAX;
-/// Maximum number of slots of a job; no machine has more.
-const MAX_SLOTS: u16 = 1024;
 
 /// A job as submitted by a client.
 pub struct Job {
--- a/crates/node/src/job_status.rs
+++ b/crates/node/src/job_status.rs
@@ -1,7 +1,9 @@
-//! Parsing of job status updates and load reports of workers.
+//! Parsing of workers' job status updates.
 
+use crate::load_report::{self, ReportError};
 use postusher_settings::SiteSettings;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use serde_json::Value;
 
 /// A job status update of a worker.
@@ -13,9 +15,9 @@
     pub worker: String,
     /// The status of the job.
     pub status: JobStatus,
-    /// The load report of the worker, in the order of the settings, with NaN for missing values; empty if
-    /// there was none.
-    pub report: Vec<f64>,
+    /// The load report of the worker, empty if there was none, or the reason why it is refused. The status is
+    /// valid even then.
+    pub report: Result<Vec<f64>, ReportError>,
 }
 
 /// Status of a job at a worker.
@@ -37,7 +39,7 @@
 
 /// The JSON form of a job status update.
 #[derive(Deserialize)]
-struct UpdateForm {
+struct UpdateForm<'a> {
     #[serde(rename = "id")]
     trace_id: String,
     #[serde(rename = "from")]
@@ -47,8 +49,9 @@
     completed_share: f64,
     #[serde(default)]
     result: Value,
-    #[serde(default)]
-    load: Value,
+    /// Not parsed with the rest: a number that cannot be represented must not lose a result.
+    #[serde(borrow, default)]
+    load: Option<&'a RawValue>,
 }
 
 impl JobStatusUpdate {
@@ -64,7 +67,7 @@
             "lost" => JobStatus::Lost,
             _ => return None,
         };
-        let report = load_report(site, |name| form.load.get(name)?.as_f64());
+        let report = form.load.map_or(Ok(Vec::new()), |load| load_report::from_json(load.get(), site));
         Some(JobStatusUpdate { trace_id: form.trace_id, worker: form.worker, status, report })
     }
 }
@@ -79,57 +82,5 @@
     }
 }
 
-/// Returns a load report in the order of the settings, with NaN for missing values; empty if all values are
-/// missing. `value` returns the value with a name in the settings or on the wire.
-fn load_report(site: &SiteSettings, value: impl Fn(&str) -> Option<f64>) -> Vec<f64> {
-    let mut values = Vec::new();
-    let mut is_empty = true;
-    for name in &site.report_fields {
-        let value = value(name).or_else(|| value(wire_name(name)));
-        is_empty &= value.is_none();
-        values.push(value.unwrap_or(f64::NAN));
-    }
-    if is_empty {
-        return Vec::new();
-    }
-    values
-}
-
-/// Returns the name that workers use on the wire for a value of a load report; the settings use the names of
-/// the simulator.
-fn wire_name(name: &str) -> &str {
-    match name {
-        "tps" => "qps",
-        "concurrent" => "inflight",
-        "depth" => "queue",
-        "load_share" => "util",
-        "mean_ms" => "latency_ms",
-        "err_ps" => "eps",
-        name => name,
-    }
-}
-
-/// Parses a load report from a header such as `TEXT inflight=7, queue=2`, or from the body of a health check,
-/// which has the same form or is JSON. Empty if the text contains no value of the settings.
-pub fn report_from_text(text: &str, site: &SiteSettings) -> Vec<f64> {
-    if let Ok(json) = serde_json::from_str::<Value>(text) {
-        return load_report(site, |name| json.get(name)?.as_f64());
-    }
-    let text = text.trim().strip_prefix("TEXT").unwrap_or(text);
-    load_report(site, |name| value_in_text(text, name))
-}
-
-/// Returns the value of the first `name=value` pair with this name; `None` if it is not a number.
-fn value_in_text(text: &str, name: &str) -> Option<f64> {
-    for pair in text.split([',', '\n']) {
-        if let Some((key, value)) = pair.split_once('=') {
-            if key.trim() == name {
-                return value.trim().parse().ok();
-            }
-        }
-    }
-    None
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/job_status/tests.rs
+++ b/crates/node/src/job_status/tests.rs
@@ -1,4 +1,4 @@
-use super::{report_from_text, JobStatus, JobStatusUpdate};
+use super::{JobStatus, JobStatusUpdate};
 use crate::config::tests::config;
 
 #[test]
@@ -21,13 +21,19 @@
     }
     assert!(read(r#""odd""#).is_none() && JobStatusUpdate::read(b"[1]", &site).is_none());
     let update = read(r#""done","result":"x","load":{"qps":3.5,"x0":2}"#).unwrap();
-    assert!(update.report[0] == 3.5 && update.report[1].is_nan() && update.report[2] == 2.0);
+    let report = update.report.unwrap();
+    assert!(report[0] == 3.5 && report[1].is_nan() && report[2] == 2.0);
 }
 
 #[test]
-fn load_reports_are_parsed_from_headers_and_bodies() {
+fn result_beside_an_invalid_load_report_is_kept() {
+    // Guards against a result that is lost because of a number in the same message.
     let site = config().site;
-    assert_eq!(report_from_text("TEXT inflight=7, qps=1.5, x0=2", &site), vec![1.5, 7.0, 2.0]);
-    assert_eq!(report_from_text(r#"{"qps":1,"inflight":2,"x0":3}"#, &site), vec![1.0, 2.0, 3.0]);
-    assert!(report_from_text("TEXT other=1", &site).is_empty());
+    for number in ["4294967295", "1e999"] {
+        let body =
+            format!(r#"{{"id":"9b","from":"s-1","state":"done","result":"r","load":{{"x0":{number}}}}}"#);
+        let update = JobStatusUpdate::read(body.as_bytes(), &site).unwrap();
+        assert_eq!(update.status, JobStatus::Done(b"r".to_vec()));
+        assert!(update.report.is_err());
+    }
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -23,6 +23,8 @@
 mod invariant;
 mod job_status;
 mod job_timers;
+mod load_report;
+mod log_limit;
 mod membership;
 mod metrics;
 #[cfg(test)]
--- a/crates/node/src/model/job_inputs.rs
+++ b/crates/node/src/model/job_inputs.rs
@@ -13,7 +13,7 @@
         trace_id: trace_id.into(),
         worker: worker.into(),
         status: JobStatus::Done(b"r".to_vec()),
-        report: Vec::new(),
+        report: Ok(Vec::new()),
     }
 }
 
--- a/crates/node/src/model/jobs.rs
+++ b/crates/node/src/model/jobs.rs
@@ -310,7 +310,7 @@
             trace_id: trace_id.clone(),
             worker: attempt.worker_name.clone(),
             status,
-            report: vec![1.0, 1.0, 2.0],
+            report: Ok(vec![1.0, 1.0, 2.0]),
         };
         self.dispatch.job_status(update, self.now);
         // An update from a worker that never had the job has no effect.
--- a/crates/node/tests/serve/main.rs
+++ b/crates/node/tests/serve/main.rs
@@ -15,6 +15,7 @@
 mod large_lists;
 mod late_connections;
 mod lists;
+mod load_reports;
 mod members;
 mod predecessor;
 mod shutdown;
--- a/crates/settings/src/profile.rs
+++ b/crates/settings/src/profile.rs
@@ -2,7 +2,9 @@
 //! format.
 
 use crate::{micros_from_millis, NamedClass, SettingsError, SiteSettings};
-use postusher_decision::{Class, Customer, DeduplicationScope, Idempotency, ReportField, Settings};
+use postusher_decision::{
+    Class, Customer, DeduplicationScope, Idempotency, ReportField, Settings, MAX_SLOTS,
+};
 use serde::Deserialize;
 
 /// Value of `Discovery` if the endpoint list must be polled.
@@ -242,6 +244,7 @@
             poll_interval: micros_from_millis(rules.poll_interval_ms),
             drain_grace: micros_from_millis(rules.drain_grace_ms),
             report_fields: self.decision_report_fields(),
+            max_worker_slots: MAX_SLOTS,
             reports_by_health_check_only: self.report.source == REPORTS_BY_HEALTH_CHECK,
             zone: self.zone,
             cross_zone_cost: costs.cross_zone,
