Limit the tokens of all workers together

A worker of 3,200 that reports 1,024 free slots again and again, a valid number, takes a scheduler 50 MB; a standalone setup with max-in-flight in the millions takes 16 MB for each million and worker.

Cause: each token is stored by itself, and the number of tokens followed from estimates of slots, times two, times the number of workers.

Change: all workers together get 262,144 tokens at most, in even parts, but 256 for each worker in fleets of over 1,024.

Why this works: the limit is applied where the number of tokens of a worker is computed, so every caller has it. It takes effect only beyond 128 slots a worker in the largest fleets, and beyond 13,000 with ten workers.

--- a/crates/decision/src/policy/capacity.rs
+++ b/crates/decision/src/policy/capacity.rs
@@ -10,6 +10,11 @@
 /// any worker: the largest number of slots that a job usually needs. The number of its tokens is larger by
 /// the largest number of slots that a job has needed.
 pub(super) const DEFAULT_TOKENS: i64 = 8;
+/// Maximum number of tokens of all workers together, as each token takes memory. In a fleet that is too large
+/// for [`MIN_TOKEN_LIMIT`] tokens of each worker, there may be more.
+const MAX_TOKENS: usize = 1 << 18;
+/// Lower bound of the maximum number of tokens of a worker.
+const MIN_TOKEN_LIMIT: usize = 256;
 /// Tokens per slot: as many jobs may queue as run.
 const TOKENS_PER_SLOT: f64 = 2.0;
 /// Time for which a load report counts as fresh, as a share of the mean running time.
@@ -20,6 +25,18 @@
 impl Dispatcher {
     /// Returns the number of tokens of a worker, held ones included.
     fn token_count(&self, worker: &Worker) -> i64 {
+        self.estimated_token_count(worker).min(self.token_limit())
+    }
+
+    /// Returns the maximum number of tokens of a worker. The slot counts from which the tokens follow come from
+    /// outside, and a single one may apply to all workers of a machine kind.
+    fn token_limit(&self) -> i64 {
+        let even_share = MAX_TOKENS / self.workers.len().max(1);
+        even_share.max(MIN_TOKEN_LIMIT) as i64
+    }
+
+    /// Returns the number of tokens that a worker has by the estimates, held ones included.
+    fn estimated_token_count(&self, worker: &Worker) -> i64 {
         if !self.workers.accepts_jobs(worker) || worker.health.is_ejected() {
             return 0;
         }
--- a/crates/decision/tests/load_reports.rs
+++ b/crates/decision/tests/load_reports.rs
@@ -8,8 +8,9 @@
 
 /// Number of free slots in a spoilt report: more than any machine has, but few enough that a dispatcher that
 /// believes it does not use up the memory of the machine that runs the test.
-const TOO_MANY_SLOTS: f64 = 1_000_000.0;
-/// Upper bound of the tokens of all workers together that this test accepts: 16 MB at 8 bytes for each.
+const TOO_MANY_SLOTS: f64 = 2_000_000.0;
+/// Upper bound of the tokens of all workers together: at 8 bytes each, half of the lowest memory limit of any
+/// deployment, 32 MB.
 const MAX_TOKENS: usize = 2_000_000;
 
 /// Returns the number of free tokens of workers 1 to `workers`.
@@ -84,3 +85,28 @@
         prop_assert!(host.submit(1_000, 0, 1).is_some(), "no worker has a free slot after valid reports");
     }
 }
+
+#[test]
+fn tokens_of_a_large_fleet_are_bounded_in_sum() {
+    // Guards against memory that grows with the number of workers times a number that one worker reports.
+    const WORKERS: u32 = 3_200;
+    let mut host = TestHost::new(settings(), WORKERS);
+    let before = total_tokens(&host, WORKERS);
+    for _ in 0..20 {
+        host.end_health_check(1, AttemptResult::Success, &[f64::from(MAX_SLOTS), 0.0]);
+    }
+    // The machine kind now counts as having that many slots, and each worker's next report applies this.
+    host.report_loads(1..=WORKERS, &[2.0, 0.0]);
+    let after = total_tokens(&host, WORKERS);
+    assert!((before..=MAX_TOKENS).contains(&after), "{before} tokens, then {after}");
+    assert!(host.submit(1, 0, 8).is_some(), "a job of several slots still fits");
+}
+
+#[test]
+fn slots_without_a_limit_in_the_settings_create_a_bounded_number_of_tokens() {
+    // Guards against memory that grows with the number of slots in the setup of a standalone scheduler.
+    let mut host = TestHost::new(Settings { max_worker_slots: u32::MAX, ..settings() }, 2);
+    host.end_health_check(1, AttemptResult::Success, &[TOO_MANY_SLOTS, 0.0]);
+    assert!(total_tokens(&host, 2) <= MAX_TOKENS);
+    assert!(host.submit(1, 0, 1).is_some());
+}
