Release the bytes of decoded chunks while the rest of a body is missing

Clients that stop in the middle of a chunked body took twice the memory of its bytes.

Cause: the decoder keeps decoded bytes in its buffer until more bytes arrive, and copies them to the body. A client that sends nothing more holds both.

Change: once more than 4 KiB are decoded and the message waits for bytes, a new buffer replaces the old one; likewise after a large message. A body that grew chunk by chunk gives back its spare capacity when it is complete.

--- a/crates/node/src/http/decoder.rs
+++ b/crates/node/src/http/decoder.rs
@@ -16,8 +16,8 @@
     /// Maximum size of a body, in bytes.
     max_body: usize,
     /// Number of bytes at the start of the buffer that are already decoded. They are removed only when more
-    /// bytes arrive or no others are left, not for each of possibly thousands of tiny chunks or requests,
-    /// since each removal moves all following bytes.
+    /// bytes arrive, are needed or no others are left, not for each of possibly thousands of tiny chunks or
+    /// requests, since each removal moves all following bytes.
     consumed: usize,
     /// Number of unread bytes that have been searched for the end of a head without finding it.
     scanned: usize,
@@ -54,7 +54,7 @@
 
     /// Adds received bytes.
     pub fn feed(&mut self, bytes: &[u8]) {
-        self.buffer.drain(..std::mem::take(&mut self.consumed));
+        self.remove_consumed();
         self.buffer.extend_from_slice(bytes);
     }
 
@@ -74,16 +74,30 @@
         self.unread().len() > MAX_HEAD + self.max_body
     }
 
-    /// Releases memory if no unread bytes are buffered. Without this, hundreds of connections would each
-    /// retain the capacity for the largest body they have received.
-    fn shrink(&mut self) {
-        if self.unread().is_empty() {
+    /// Removes the bytes that are already decoded.
+    fn remove_consumed(&mut self) {
+        self.buffer.drain(..std::mem::take(&mut self.consumed));
+    }
+
+    /// Releases the memory of the bytes that are already decoded, if they take much. Without this, hundreds of
+    /// connections would each retain the capacity for the largest body that they have received, or hold the
+    /// decoded part of an incomplete body twice. A large buffer is replaced: shrinking it in place would leave
+    /// gaps in the heap that the next body does not fit into.
+    fn release_consumed(&mut self) {
+        let is_unused = self.unread().is_empty() && self.buffer.capacity() > RETAINED_CAPACITY;
+        if is_unused || self.consumed > RETAINED_CAPACITY {
+            self.buffer = self.unread().to_vec();
             self.consumed = 0;
-            self.buffer.clear();
-            self.buffer.shrink_to(RETAINED_CAPACITY);
         }
     }
 
+    /// Returns the memory that buffered bytes and the current message take, in bytes.
+    #[cfg(test)]
+    pub fn held_bytes(&self) -> usize {
+        let message = self.current.as_ref().map_or(0, |partial| partial.message.held_bytes());
+        self.buffer.capacity() + message
+    }
+
     /// Returns the bytes that are not decoded yet.
     pub fn unread(&self) -> &[u8] {
         &self.buffer[self.consumed..]
@@ -115,11 +129,13 @@
             match self.read_body(&mut message.body, framing)? {
                 BodyStep::NeedsMore => {
                     self.current = Some(PartialMessage { message, framing });
+                    self.release_consumed();
                     return Ok(None);
                 }
                 BodyStep::Continue(next) => framing = next,
                 BodyStep::Complete => {
-                    self.shrink();
+                    message.body.shrink_to_fit(); // it may have grown chunk by chunk
+                    self.release_consumed();
                     return Ok(Some(message));
                 }
             }
--- a/crates/node/src/http/message.rs
+++ b/crates/node/src/http/message.rs
@@ -39,6 +39,13 @@
         Headers(headers.iter().map(|header| (header.name.to_string(), header.value.to_vec())).collect())
     }
 
+    /// Returns the memory that the header lines take, in bytes.
+    #[cfg(test)]
+    pub fn held_bytes(&self) -> usize {
+        let lines = self.0.capacity() * size_of::<(String, Vec<u8>)>();
+        lines + self.0.iter().map(|(name, value)| name.capacity() + value.capacity()).sum::<usize>()
+    }
+
     /// Returns all values of a header. Names of headers are compared without regard to case.
     pub fn all<'a, 'n>(&'a self, name: &'n str) -> impl Iterator<Item = &'a [u8]> + use<'a, 'n> {
         let named = self.0.iter().filter(move |(line_name, _)| line_name.eq_ignore_ascii_case(name));
@@ -171,3 +178,11 @@
     /// Whether the sender keeps the connection open after this message.
     pub keep_alive: bool,
 }
+
+#[cfg(test)]
+impl<S> Message<S> {
+    /// Returns the memory that the headers and the body take, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.headers.held_bytes() + self.body.capacity()
+    }
+}
--- a/crates/node/src/http/tests.rs
+++ b/crates/node/src/http/tests.rs
@@ -61,3 +61,17 @@
     decoder.feed(b"HTTP/1.1 204 No\r\n\r\n");
     assert!(decoder.next().unwrap().unwrap().keep_alive);
 }
+
+#[test]
+fn decoded_chunks_of_an_incomplete_body_are_held_once() {
+    // Guards against the bytes of a chunk that stay in the buffer beside the body until the next ones arrive.
+    const CHUNK_BYTES: usize = 60_000;
+    let mut decoder: Decoder<RequestLine> = Decoder::new();
+    let chunk = format!("{CHUNK_BYTES:x}\r\n{}\r\n", "x".repeat(CHUNK_BYTES));
+    decoder.feed(format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}").as_bytes());
+    assert!(decoder.next().unwrap().is_none());
+    let held = decoder.held_bytes();
+    assert!((CHUNK_BYTES..CHUNK_BYTES + 8 * 1024).contains(&held), "{held} bytes");
+    decoder.feed(b"0\r\n\r\n");
+    assert_eq!(decoder.next().unwrap().map(|message| message.body.len()), Some(CHUNK_BYTES));
+}
