Limit the memory of requests and answers by limits.memory_mb

Cause: the number of connections follows from the descriptors alone, and each may hold 16 KiB of head and 64 KiB of body, or as much again that is sent ahead. Nothing compared the sum with limits.memory_mb.

Change: connections record what they hold, and open jobs what their requests take. A quarter of the memory is for both. Beyond it, partial requests that take more than an even share get a 503, the longest without a byte first; a worker's partial status update is closed without an answer, so that the worker repeats it; then new jobs get a 503, and nothing is read ahead. After its last answer a connection discards what it had received. The log has memory_shortages and buffered_bytes. The answer to a partial request at the shutdown uses the same function.

Why this works: whatever grows with input from clients is either counted and bounded before more is read, or is within the even shares, which make up the same sum once more: half of the limit in all.

Open: results that clients do not read are counted, but never dropped.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -20,6 +20,12 @@
 /// Ratio of the memory limit to the maximum size of an endpoint list. While a list is parsed, it is in memory
 /// twice, as text and as entries, in addition to the list in use.
 const MEMORY_TO_LIST_RATIO: f64 = 8.0;
+/// Ratio of the memory limit to the maximum memory of requests and answers. Requests within an even share of
+/// that memory are never rejected for lack of it, so that it may be used twice; endpoint lists and the rest of
+/// the process need the other half.
+const MEMORY_TO_BUFFERS_RATIO: f64 = 4.0;
+/// Lower bound of the maximum memory of requests and answers, so that several of the largest ones fit.
+const MIN_BUFFER_LIMIT_BYTES: usize = 1 << 20;
 /// Lower bound of the size limit of an endpoint list, so that the list of the largest fleet fits.
 const MIN_LIST_LIMIT_BYTES: usize = 2 << 20;
 
@@ -118,6 +124,8 @@
     pub max_descriptors: usize,
     /// Maximum size of an endpoint list, in bytes.
     pub max_list_bytes: usize,
+    /// Maximum memory of requests and answers, in bytes.
+    pub max_buffered_bytes: usize,
     /// The endpoint list in the file, which is applied at the start; empty if there is none.
     pub cached_list: List,
     /// The settings, with the names of classes, customers, zones and machine kinds.
@@ -196,6 +204,12 @@
         let limit = (self.memory_mb * 1e6 / MEMORY_TO_LIST_RATIO) as usize;
         limit.max(MIN_LIST_LIMIT_BYTES)
     }
+
+    /// Returns the maximum memory of requests and answers, in bytes.
+    fn max_buffered_bytes(&self) -> usize {
+        let limit = (self.memory_mb * 1e6 / MEMORY_TO_BUFFERS_RATIO) as usize;
+        limit.max(MIN_BUFFER_LIMIT_BYTES)
+    }
 }
 
 /// Parses the address of the admin interface in the environment; an empty variable counts as unset.
@@ -245,6 +259,7 @@
             seed,
             max_descriptors: file.limits.sockets,
             max_list_bytes: file.limits.max_list_bytes(),
+            max_buffered_bytes: file.limits.max_buffered_bytes(),
             cached_list,
             site,
             settings_digest: fnv1a(file.settings.to_string().as_bytes()),
--- a/crates/node/src/dispatch/arrivals.rs
+++ b/crates/node/src/dispatch/arrivals.rs
@@ -87,6 +87,7 @@
     /// timers that the decision module has set for it remain until the module cancels them.
     pub(super) fn remove_open_job(&mut self, id: JobId) -> Option<OpenJob> {
         let job = self.jobs.remove(&id)?;
+        self.request_bytes -= job.submission.payload.held_bytes();
         for timer in job.timers() {
             self.timers.cancel(timer);
         }
@@ -100,6 +101,7 @@
         let deadline = (now + job.time_to_deadline).min(self.shutdown_deadline);
         let answer_timer = self.timers.set(answer_due(deadline), Timer::AnswerDue(id));
         let job = OpenJob::new(client, job, deadline, answer_timer);
+        self.request_bytes += job.submission.payload.held_bytes();
         self.by_trace_id.insert(job.trace_id.clone(), id);
         self.jobs.insert(id, job);
         id
--- a/crates/node/src/dispatch/mod.rs
+++ b/crates/node/src/dispatch/mod.rs
@@ -91,6 +91,8 @@
     commands: Vec<Command>,
     timers: JobTimers<Timer>,
     jobs: HashMap<JobId, OpenJob>,
+    /// Memory that the requests of the open jobs take, in bytes.
+    request_bytes: usize,
     /// Ids of the open jobs by trace id.
     by_trace_id: HashMap<Rc<str>, JobId>,
     /// Jobs that may be over or whose answer may be overdue; they are reviewed after the decision module has
@@ -118,6 +120,7 @@
             commands: Vec::new(),
             timers: JobTimers::new(),
             jobs: HashMap::new(),
+            request_bytes: 0,
             by_trace_id: HashMap::new(),
             to_review: Vec::new(),
             last_id: 0,
@@ -255,6 +258,11 @@
         self.jobs.values().filter(|job| !job.is_answered()).count()
     }
 
+    /// Returns the memory that the requests of the open jobs take, in bytes.
+    pub fn request_bytes(&self) -> usize {
+        self.request_bytes
+    }
+
     /// Returns whether a worker gets no new jobs because an operator has disabled it or the decision module
     /// has ejected it.
     pub fn is_excluded(&self, worker: WorkerId) -> bool {
--- a/crates/node/src/downstream.rs
+++ b/crates/node/src/downstream.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::Millis;
 use crate::http::{Decoder, HttpError, Message, RequestLine, WriteBuffer, MAX_BODY};
+use crate::worker_protocol::JOB_STATUS_PATH;
 
 /// Time for which the first request on a new connection may still be in transit.
 const NEW_CONNECTION_GRACE: Millis = 100.0;
@@ -96,6 +97,11 @@
         self.closes_after_answer
     }
 
+    /// Returns the memory that received and unsent bytes take, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.decoder.held_bytes() + self.write_buffer.held_bytes()
+    }
+
     /// Handles received bytes.
     pub fn receive(&mut self, bytes: &[u8], now: Millis) {
         if self.state != State::Closing {
@@ -155,6 +161,9 @@
             self.has_served = true;
             self.request_started_at = now;
             self.state = if keep_alive { State::Open } else { State::Closing };
+            if self.state == State::Closing {
+                self.decoder.clear(); // nothing more is read from it
+            }
         }
     }
 
@@ -186,6 +195,13 @@
         self.state == State::Open && !self.decoder.is_empty()
     }
 
+    /// Returns whether the connection belongs to a worker: a job status update has been received on it, at
+    /// least in part.
+    pub fn is_for_job_status(&self) -> bool {
+        let line = self.decoder.current_start_line();
+        self.carries_job_status || line.is_some_and(|line| line.path() == JOB_STATUS_PATH)
+    }
+
     /// Returns whether the process must not exit yet because a request is in progress or partially received,
     /// or an answer is not fully written. If it exited, a request whose last byte is in transit would be lost
     /// without an answer.
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -19,6 +19,7 @@
 use iteration_times::IterationTimes;
 use limits::ConnectionLimits;
 use membership::Membership;
+use memory::MemoryLimit;
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
 use postusher_decision::ListUpdate;
@@ -40,6 +41,7 @@
 mod iteration_times;
 mod limits;
 mod membership;
+mod memory;
 mod migration;
 mod role;
 mod signals;
@@ -82,6 +84,7 @@
     listener_closes_at: Option<Millis>,
     sockets: Sockets<Role>,
     limits: ConnectionLimits,
+    memory_limit: MemoryLimit,
     read_buffer: Vec<u8>,
     /// Connections to drive in the next iteration without a readiness event, because reading stopped before
     /// all available bytes were read.
@@ -153,6 +156,7 @@
             listener_closes_at: None,
             sockets: Sockets::new(),
             limits: ConnectionLimits::new(config.max_descriptors, reserved_descriptors),
+            memory_limit: MemoryLimit::new(config.max_buffered_bytes),
             read_buffer: vec![0; READ_BUFFER_BYTES],
             unfinished_reads: Vec::new(),
             admin,
--- a/crates/node/src/event_loop/downstreams.rs
+++ b/crates/node/src/event_loop/downstreams.rs
@@ -10,8 +10,8 @@
 use crate::upgrade_protocol::Message;
 use postusher_decision::JobId;
 
-/// Time after which a client whose job was rejected for lack of descriptors is advised to retry.
-const DESCRIPTOR_RETRY_AFTER: Millis = 500.0;
+/// Time after which a client whose job was rejected for lack of descriptors or memory is advised to retry.
+const SHORTAGE_RETRY_AFTER: Millis = 500.0;
 
 /// What this process does with a connection after an answer. The client may close the connection regardless.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,8 +80,8 @@
         self.reply(id, now, after, |keep_alive| http::response(status, &[], b"", keep_alive));
     }
 
-    /// Passes a job to the dispatcher, or rejects it because of a drain, a lack of descriptors or a duplicate
-    /// trace id.
+    /// Passes a job to the dispatcher, or rejects it because of a drain, a lack of descriptors or memory, or a
+    /// duplicate trace id.
     fn handle_job(&mut self, id: ConnectionId, mut job: Job, now: Millis) {
         // The client's time counts from its sending, which may be an iteration of the loop ago.
         job.time_to_deadline -= self.iteration_times.input_age(now);
@@ -91,8 +91,12 @@
         }
         if self.limits.uses_job_status_reserve() && !self.close_unneeded_downstream() {
             self.record_descriptor_shortage(now);
-            let retry_after = self.descriptor_retry_after();
-            return self.reject_job(id, &job, retry_after, now);
+            return self.reject_job(id, &job, self.shortage_retry_after(), now);
+        }
+        self.update_held_bytes(id); // the request is no longer part of the connection
+        if !self.has_memory_for(&job, now) {
+            self.record_memory_shortage(now);
+            return self.reject_job(id, &job, self.shortage_retry_after(), now);
         }
         // The two processes of an upgrade must not both have an open job with the same trace id.
         if self.upgrade.is_open_at_peer(&job.trace_id) {
@@ -113,15 +117,21 @@
     fn reject_job(&mut self, id: ConnectionId, job: &Job, retry_after: Millis, now: Millis) {
         let rejected = Answer::Rejected { retry_after };
         self.dispatch.metrics.record_job_end(job.class, job.customer, rejected.kind());
+        self.reply_rejected(id, retry_after, now);
+    }
+
+    /// Answers the current request with a rejection, and closes the connection afterwards.
+    pub(super) fn reply_rejected(&mut self, id: ConnectionId, retry_after: Millis, now: Millis) {
+        let rejected = Answer::Rejected { retry_after };
         self.reply(id, now, AfterAnswer::Close, |keep_alive| rejected.bytes(keep_alive));
     }
 
-    /// Returns the time after which a client whose job was rejected for lack of descriptors is advised to
-    /// retry; 0 means no advice.
-    fn descriptor_retry_after(&self) -> Millis {
+    /// Returns the time after which a client whose job was rejected for lack of descriptors or memory is
+    /// advised to retry; 0 means no advice.
+    pub(super) fn shortage_retry_after(&self) -> Millis {
         let settings = &self.site.settings;
         if settings.sends_retry_after {
-            DESCRIPTOR_RETRY_AFTER.min(settings.max_retry_after as f64 / 1e3)
+            SHORTAGE_RETRY_AFTER.min(settings.max_retry_after as f64 / 1e3)
         } else {
             0.0
         }
--- a/crates/node/src/event_loop/idle_downstreams.rs
+++ b/crates/node/src/event_loop/idle_downstreams.rs
@@ -1,8 +1,6 @@
 //! Closing of downstream connections to free descriptors, or in a late stage of a drain or a shutdown.
 
-use super::downstreams::AfterAnswer;
-use super::{ConnectionId, EventLoop, Role, Socket};
-use crate::answer::Answer;
+use super::{ConnectionId, EventLoop, Socket};
 use crate::clock::Millis;
 use crate::downstream::{Connection, State};
 use std::io::ErrorKind;
@@ -73,11 +71,7 @@
         let partial =
             self.sockets.ids(|socket| socket.role.downstream().is_some_and(Connection::has_partial_request));
         for id in partial {
-            if let Some(Socket { role: Role::Downstream(connection, _), .. }) = self.socket(id) {
-                connection.abort_request();
-            }
-            let rejected = Answer::Rejected { retry_after: 0.0 };
-            self.reply(id, now, AfterAnswer::Close, |keep_alive| rejected.bytes(keep_alive));
+            self.reject_partial_request(id, 0.0, now);
             self.drive(id);
         }
     }
--- a/crates/node/src/event_loop/role.rs
+++ b/crates/node/src/event_loop/role.rs
@@ -61,6 +61,16 @@
         }
     }
 
+    /// Returns the memory that requests and answers on the connection take, in bytes. Lists and state exchanges
+    /// have limits of their own and do not count.
+    pub(super) fn held_bytes(&self) -> usize {
+        match self {
+            Role::Downstream(connection, _) | Role::Admin(connection) => connection.held_bytes(),
+            Role::Upstream(connection) => connection.held_bytes(),
+            Role::Discovery(_) | Role::StateExchange(_) => 0,
+        }
+    }
+
     /// Returns whether the connection has work that the process must finish before it exits.
     pub(super) fn has_pending_work(&self) -> bool {
         match self {
--- a/crates/node/src/event_loop/signals.rs
+++ b/crates/node/src/event_loop/signals.rs
@@ -67,7 +67,7 @@
         };
         self.dispatch.metrics.reloads_ok += 1;
         self.limits.set_descriptors(config.max_descriptors);
-        self.divide_descriptors();
+        self.divide_limits();
         if let Some(limits) = config.deferral_limits {
             self.dispatch.set_deferral_limits(limits);
         }
@@ -91,7 +91,9 @@
         let disconnected = metrics.disconnected;
         let attempts = metrics.attempts;
         let descriptor_shortages = metrics.descriptor_shortages;
+        let memory_shortages = metrics.memory_shortages;
         let invalid_reports = metrics.invalid_reports;
+        let buffered_bytes = self.buffered_bytes();
         let connections = self.sockets.len();
         let timers = self.timer_count();
         let denials = metrics.denial_fields();
@@ -99,8 +101,9 @@
         log::info!(
             "counters: occasion={occasion} accepted={accepted} served={served} rejected={rejected} \
              failed={failed} disconnected={disconnected} attempts={attempts} \
-             descriptor_shortages={descriptor_shortages} invalid_reports={invalid_reports} \
-             connections={connections} timers={timers}{denials}{violations}"
+             descriptor_shortages={descriptor_shortages} memory_shortages={memory_shortages} \
+             invalid_reports={invalid_reports} buffered_bytes={buffered_bytes} connections={connections} \
+             timers={timers}{denials}{violations}"
         );
     }
 }
--- a/crates/node/src/event_loop/transfer.rs
+++ b/crates/node/src/event_loop/transfer.rs
@@ -34,6 +34,7 @@
         self.handle_requests(id, self.clock.now());
         let read_stop = self.read(id);
         self.flush(id);
+        self.make_room(0, self.clock.now());
         match read_stop {
             // Everything that the peer had sent before the write failed is handled.
             ReadStop::WouldBlock | ReadStop::Paused if self.sockets.has_failed_write(id) => {
@@ -53,7 +54,7 @@
             ReadStop::Paused => {
                 // A connection that is still paused is read again after the next answer, or once the client
                 // has read some bytes.
-                if self.socket(id).is_some_and(|socket| !is_paused(socket)) {
+                if self.sockets.get(id).is_some_and(|socket| !self.is_paused(socket)) {
                     self.unfinished_reads.push(id);
                 }
             }
@@ -70,13 +71,14 @@
         }
         let mut bytes_read = 0;
         let read_stop = loop {
-            let Some(socket) = self.socket(id) else { break ReadStop::WouldBlock };
-            if is_paused(socket) {
+            let Some(socket) = self.sockets.get(id) else { break ReadStop::WouldBlock };
+            if self.is_paused(socket) {
                 break ReadStop::Paused;
             }
             if bytes_read >= READ_BUDGET_BYTES {
                 break ReadStop::OverBudget;
             }
+            let Some(socket) = self.socket(id) else { break ReadStop::WouldBlock };
             match net::read(&mut socket.stream, &mut buffer) {
                 ReadResult::Received(length) => {
                     bytes_read += length;
@@ -121,10 +123,17 @@
         }
     }
 
+    /// Writes the contents of a connection's write buffer, as far as the socket accepts them, and records the
+    /// memory that the connection holds then.
+    pub(super) fn flush(&mut self, id: ConnectionId) {
+        self.write(id);
+        self.update_held_bytes(id);
+    }
+
     /// Writes the contents of a connection's write buffer, as far as the socket accepts them. If the write
     /// fails, the connection is closed once everything that its peer has already sent is read, such as a
     /// worker's answer to a request that it has not read completely.
-    pub(super) fn flush(&mut self, id: ConnectionId) {
+    fn write(&mut self, id: ConnectionId) {
         let now = self.clock.now();
         while let Some(socket) = self.socket(id).filter(|socket| socket.can_write()) {
             let is_upstream = matches!(socket.role, Role::Upstream(_));
@@ -172,8 +181,3 @@
         }
     }
 }
-
-/// Returns whether a connection accepts no more bytes for now.
-fn is_paused(socket: &Socket) -> bool {
-    socket.role.server_side().is_some_and(|connection| !connection.accepts_more())
-}
--- a/crates/node/src/event_loop/upgrade.rs
+++ b/crates/node/src/event_loop/upgrade.rs
@@ -56,7 +56,7 @@
         let interest = Interest::READABLE | Interest::WRITABLE;
         self.poll.registry().register(&mut stream, UPGRADE_PEER, interest)?;
         self.upgrade.peer = Some(Peer::new(stream, link));
-        self.divide_descriptors();
+        self.divide_limits();
         Ok(())
     }
 
@@ -274,7 +274,7 @@
         if let Some(deadline) = self.drain.shutdown_deadline() {
             self.dispatch.set_shutdown_deadline(deadline);
         }
-        self.divide_descriptors();
+        self.divide_limits();
         log::info!("upgrade peer exited");
         if !self.upgrade.accepts_clients {
             if let Err(e) = self.start_accepting_clients() {
@@ -283,13 +283,14 @@
         }
     }
 
-    /// Divides the scheduler's descriptors among its processes, and closes connections that are not in use as
+    /// Divides the scheduler's descriptors and memory among its processes, and closes connections that are not in use as
     /// long as a new limit is exceeded.
-    pub(super) fn divide_descriptors(&mut self) {
+    pub(super) fn divide_limits(&mut self) {
         let processes = if self.upgrade.peer.is_some() { 2 } else { 1 };
         let membership_descriptors =
             if self.membership.is_some() { membership::RESERVED_DESCRIPTORS } else { 0 };
         self.limits.divide(processes, self.admin.reserved_descriptors() + membership_descriptors);
+        self.memory_limit.divide(processes);
         while self.limits.downstream.is_exceeded() && self.close_unneeded_downstream() {}
         while self.limits.upstream.is_exceeded() && self.close_idle_upstream() {}
     }
--- a/crates/node/src/http/decoder.rs
+++ b/crates/node/src/http/decoder.rs
@@ -92,12 +92,19 @@
     }
 
     /// Returns the memory that buffered bytes and the current message take, in bytes.
-    #[cfg(test)]
     pub fn held_bytes(&self) -> usize {
         let message = self.current.as_ref().map_or(0, |partial| partial.message.held_bytes());
         self.buffer.capacity() + message
     }
 
+    /// Discards all buffered bytes and the current message, and releases their memory.
+    pub fn clear(&mut self) {
+        self.buffer = Vec::new();
+        self.consumed = 0;
+        self.scanned = 0;
+        self.current = None;
+    }
+
     /// Returns the bytes that are not decoded yet.
     pub fn unread(&self) -> &[u8] {
         &self.buffer[self.consumed..]
--- a/crates/node/src/http/message.rs
+++ b/crates/node/src/http/message.rs
@@ -40,7 +40,6 @@
     }
 
     /// Returns the memory that the header lines take, in bytes.
-    #[cfg(test)]
     pub fn held_bytes(&self) -> usize {
         let lines = self.0.capacity() * size_of::<(String, Vec<u8>)>();
         lines + self.0.iter().map(|(name, value)| name.capacity() + value.capacity()).sum::<usize>()
@@ -113,6 +112,13 @@
     pub target: String,
 }
 
+impl RequestLine {
+    /// Returns the path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or("")
+    }
+}
+
 /// The start line of a response.
 #[derive(Clone, Debug)]
 pub struct StatusLine {
@@ -179,7 +185,6 @@
     pub keep_alive: bool,
 }
 
-#[cfg(test)]
 impl<S> Message<S> {
     /// Returns the memory that the headers and the body take, in bytes.
     pub fn held_bytes(&self) -> usize {
--- a/crates/node/src/http/write.rs
+++ b/crates/node/src/http/write.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Returns the memory that the bytes take, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Returns whether some but not all of the bytes have been written.
     pub fn is_partly_sent(&self) -> bool {
         self.sent > 0
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -63,7 +63,7 @@
 /// not, the headers with start conditions are not interpreted and are forwarded to the worker.
 pub fn read(message: Message<RequestLine>, site: &SiteSettings, deferral_enabled: bool) -> IncomingRequest {
     let method = message.line.method.as_str();
-    let error = match path(&message.line) {
+    let error = match message.line.path() {
         READINESS_PATH if method == "GET" => return IncomingRequest::Readiness,
         JOB_STATUS_PATH if method == "POST" => return IncomingRequest::JobStatus(message.body),
         READINESS_PATH | JOB_STATUS_PATH => IntakeError::MethodNotAllowed,
@@ -75,11 +75,6 @@
     IncomingRequest::Invalid(error.status())
 }
 
-/// Returns the path of a request without the query.
-fn path(line: &RequestLine) -> &str {
-    line.target.split('?').next().unwrap_or("")
-}
-
 /// Parses a job. `Host` and the headers that are interpreted here must be text and must not be repeated;
 /// otherwise a worker could reject the job or confuse it with another one. Of these headers, only `Expect`
 /// and `X-Start-After` may be repeated.
@@ -123,7 +118,7 @@
 /// Returns the number of the class that the first path segment names.
 fn class_number(line: &RequestLine, headers: &Headers, site: &SiteSettings) -> Result<usize, IntakeError> {
     let number_of = |name: &str| site.classes.iter().position(|class| class.name == name);
-    let segments = path(line).strip_prefix('/').ok_or(IntakeError::MalformedPath)?;
+    let segments = line.path().strip_prefix('/').ok_or(IntakeError::MalformedPath)?;
     let name = segments.split('/').next().unwrap_or("");
     let class = number_of(name).ok_or(IntakeError::UnknownClass)?;
     match headers.single(CLASS_HEADER)? {
--- a/crates/node/src/intake/payload.rs
+++ b/crates/node/src/intake/payload.rs
@@ -43,6 +43,11 @@
         self.line.target.len() + headers + self.body.len()
     }
 
+    /// Returns the memory that the request takes, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.line.target.capacity() + self.headers.held_bytes() + self.body.capacity()
+    }
+
     /// Returns the request to a worker, which has to answer within `time_left`.
     pub fn request(&self, time_left: Millis) -> Vec<u8> {
         let micros = (time_left.max(0.0) * MICROS_PER_MILLI) as u64;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -90,6 +90,8 @@
     pub denied: [u64; SendDenial::ALL.len()],
     /// Number of operations that were delayed or failed because no file descriptor was free.
     pub descriptor_shortages: u64,
+    /// Number of requests that were rejected because memory was short.
+    pub memory_shortages: u64,
     /// Number of load reports that were refused because of a value that no worker can have.
     pub invalid_reports: u64,
     /// Number of successful reloads of the configuration.
@@ -177,6 +179,7 @@
             attempts: 0,
             denied: [0; SendDenial::ALL.len()],
             descriptor_shortages: 0,
+            memory_shortages: 0,
             invalid_reports: 0,
             reloads_ok: 0,
             reloads_failed: 0,
--- a/crates/node/src/net/sockets.rs
+++ b/crates/node/src/net/sockets.rs
@@ -22,6 +22,8 @@
     pub peer_closed: bool,
     /// A write has failed, so nothing more is written; bytes that the peer sent before may still be unread.
     pub has_failed_write: bool,
+    /// Memory that the connection holds, in bytes; see [`Sockets::set_held_bytes`].
+    held_bytes: usize,
     /// Time at which the connection is checked for a timeout; infinity means never.
     deadline: Millis,
     /// The timer for the deadline; `None` if it has expired or the deadline is infinite.
@@ -34,6 +36,11 @@
         !self.is_connecting && !self.has_failed_write
     }
 
+    /// Returns the memory that the connection holds, in bytes; see [`Sockets::set_held_bytes`].
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
     /// Returns the time at which the connection is checked for a timeout; infinity means never.
     pub fn deadline(&self) -> Millis {
         self.deadline
@@ -45,6 +52,8 @@
 pub struct Sockets<R> {
     slots: Slab<Socket<R>>,
     timers: Timers<ConnectionId>,
+    /// Sum of the memory that the open connections hold, in bytes.
+    held_bytes: usize,
     /// Number of connections opened since the start, which is also the serial number of the last one.
     opened_count: u64,
 }
@@ -52,7 +61,7 @@
 impl<R> Sockets<R> {
     /// Creates an empty collection.
     pub fn new() -> Self {
-        Sockets { slots: Slab::new(), timers: Timers::new(), opened_count: 0 }
+        Sockets { slots: Slab::new(), timers: Timers::new(), held_bytes: 0, opened_count: 0 }
     }
 
     /// Adds a connection and registers it for reading and writing.
@@ -78,6 +87,7 @@
             is_connecting,
             peer_closed: false,
             has_failed_write: false,
+            held_bytes: 0,
             deadline: f64::INFINITY,
             timer: None,
         });
@@ -114,6 +124,7 @@
     pub fn remove(&mut self, registry: &Registry, id: ConnectionId) -> Option<Socket<R>> {
         self.get(id)?;
         let mut socket = self.slots.remove(id.slot);
+        self.held_bytes -= socket.held_bytes;
         let _ = registry.deregister(&mut socket.stream); // closing the stream also deregisters it
         if let Some(timer) = socket.timer.take() {
             self.timers.cancel(timer);
@@ -134,6 +145,19 @@
         }
     }
 
+    /// Records the memory that a connection holds for its protocol state. Has no effect if the connection is
+    /// closed.
+    pub fn set_held_bytes(&mut self, id: ConnectionId, bytes: usize) {
+        let Some(socket) = self.slots.get_mut(id.slot).filter(|socket| socket.id == id) else { return };
+        self.held_bytes = self.held_bytes - socket.held_bytes + bytes;
+        socket.held_bytes = bytes;
+    }
+
+    /// Returns the sum of the memory that the open connections hold, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
     /// Returns the time of the earliest deadline that has not expired; `None` if there is none.
     pub fn next_deadline(&self) -> Option<Millis> {
         self.timers.next_expiry()
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Returns the memory that received and unsent bytes take, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.decoder.held_bytes() + self.write_buffer.held_bytes()
+    }
+
     /// Returns whether the last byte of the request has been written to the socket.
     fn is_sent(&self) -> bool {
         self.is_request_buffered && self.write_buffer.unsent().is_empty()
--- a/crates/node/tests/serve/main.rs
+++ b/crates/node/tests/serve/main.rs
@@ -17,6 +17,7 @@
 mod lists;
 mod load_reports;
 mod members;
+mod memory;
 mod predecessor;
 mod shutdown;
 mod timers;
