Soak: wrong load reports, clients that stop within requests, broken first attempts

Workers always reported true numbers, idle clients sent nothing, a worker ran the attempt of a broken connection and its repetition as one, and SecondCopies was always on.

New rule Copies: no job reaches a worker while an attempt of it is open, from what the workers see.

Tests: second_attempt_while_the_first_is_open_is_found; fifty_seeds_contain_each_required_fault names the three kinds.

--- a/crates/testbed/src/faults.rs
+++ b/crates/testbed/src/faults.rs
@@ -3,6 +3,7 @@
 use crate::discovery::ResponseStyle;
 use crate::flood::send_rejected_jobs;
 use crate::journal::Observation;
+use crate::partial_requests::send_partial_request;
 use crate::relay::LinkConditions;
 use crate::scenario::{Fault, FaultKind};
 use crate::schedulers::Scheduler;
@@ -60,6 +61,8 @@
         | FaultKind::Refuse
         | FaultKind::Break
         | FaultKind::Fail
+        | FaultKind::BreakThenFail
+        | FaultKind::InvalidReports
         | FaultKind::Twice
         | FaultKind::Late => inject_worker_fault(environment, fault).await,
         FaultKind::LateConnections => delay_connections(environment, fault).await,
@@ -69,6 +72,7 @@
         FaultKind::Replace => environment.discovery.replace_listed(),
         FaultKind::Discovery => stop_discovery(environment, fault).await,
         FaultKind::Crowd => open_idle_connections(environment, fault).await,
+        FaultKind::PartialRequests => send_partial_requests(environment, fault).await,
         FaultKind::Cut => cut_links(environment, fault).await,
         FaultKind::Reset => reset_connections(environment, fault).await,
         FaultKind::Limit => {
@@ -156,6 +160,8 @@
             FaultKind::Break => faults.drops_connections = is_on,
             FaultKind::Twice => faults.duplicates_updates = is_on,
             FaultKind::Fail => faults.fails_jobs = is_on,
+            FaultKind::BreakThenFail => faults.breaks_first_attempts = is_on,
+            FaultKind::InvalidReports => faults.reports_invalid_load = is_on,
             FaultKind::LateConnections => faults.closes_connections = is_on,
             _ => faults.delays_updates = is_on,
         });
@@ -230,6 +236,24 @@
     wait_for_duration(fault).await;
 }
 
+/// Sends requests without their end to schedulers, from clients that then stay.
+async fn send_partial_requests(environment: &TestEnvironment, fault: &Fault) {
+    let Some(class) = environment.scenario.class.first() else { return };
+    let mut senders = JoinSet::new();
+    for number in &fault.targets {
+        let Some(scheduler) = environment.schedulers.get(*number) else { continue };
+        let listen = scheduler.lock().await.client_address();
+        for client in 0..fault.factor as usize {
+            senders.spawn(send_partial_request(listen, class.name.clone(), client));
+        }
+    }
+    let mut clients = Vec::new();
+    while let Some(client) = senders.join_next().await {
+        clients.extend(client.ok().flatten());
+    }
+    wait_for_duration(fault).await;
+}
+
 async fn cut_links(environment: &TestEnvironment, fault: &Fault) {
     let Some(relay) = &environment.relay else { return };
     relay.cut(&fault.targets, &fault.peers, true);
--- a/crates/testbed/src/journal.rs
+++ b/crates/testbed/src/journal.rs
@@ -93,6 +93,20 @@
         /// The worker.
         worker: usize,
     },
+    /// A worker is about to report the end of an attempt, with a result or as failed.
+    AttemptEnded {
+        /// The job's trace id.
+        job: String,
+        /// The worker.
+        worker: usize,
+    },
+    /// A worker was told to cancel an attempt.
+    AttemptCancelled {
+        /// The job's trace id.
+        job: String,
+        /// The worker.
+        worker: usize,
+    },
     /// A scheduler was sent an endpoint list that says whether a worker is draining.
     #[serde(rename = "told")]
     DrainNotified {
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod journal;
 pub mod machine;
 pub mod memory_use;
+pub mod partial_requests;
 pub mod plan;
 pub mod relay;
 pub mod report;
--- a/crates/testbed/src/rules.rs
+++ b/crates/testbed/src/rules.rs
@@ -11,6 +11,7 @@
 use std::fmt;
 
 mod clients;
+mod copies;
 mod drains;
 mod members;
 mod memory;
@@ -63,6 +64,9 @@
     /// No scheduler uses more memory than its limit.
     #[serde(rename = "memory")]
     MemoryLimit,
+    /// No job has two attempts at once where the settings do not allow it.
+    #[serde(rename = "copies")]
+    SecondCopies,
 }
 
 impl fmt::Debug for Rule {
@@ -80,6 +84,7 @@
             Rule::TimeLeft => "TimeTold",
             Rule::Membership => "Members",
             Rule::MemoryLimit => "Memory",
+            Rule::SecondCopies => "Copies",
         })
     }
 }
@@ -115,6 +120,7 @@
     clients::check_time_left(&index, &mut add);
     members::check_membership(run, &mut add);
     memory::check_memory(run, &mut add);
+    copies::check_copies(&index, &mut add);
     breaches.into_iter().map(|(rule, (count, examples))| Breach { rule, count, examples }).collect()
 }
 
--- a/crates/testbed/src/rules/tests.rs
+++ b/crates/testbed/src/rules/tests.rs
@@ -307,3 +307,23 @@
     assert_eq!(exit_recorded_at(42.4, vec![own_wait.clone()]), []);
     assert_eq!(exit_recorded_at(85.0, vec![process_wait, own_wait]), [Rule::OneAnswer]);
 }
+
+#[test]
+fn second_attempt_while_the_first_is_open_is_found() {
+    let with_first_attempt_until = |end: Option<Observation>, second_copies| {
+        let mut entries = vec![(1.0, sent("a")), (2.0, received("a", 0, true))];
+        entries.extend(end.map(|end| (3.0, end)));
+        entries.extend([(4.0, received("a", 1, true)), (5.0, done("a")), (6.0, answered("a", 200, true))]);
+        let mut run = run(Effect::Repeatable, vec![job("a", &[], None)], entries);
+        run.scenario.second_copies = second_copies;
+        broken_rules(&run)
+    };
+    let ended = |worker| Some(Observation::AttemptEnded { job: "a".into(), worker });
+    assert_eq!(with_first_attempt_until(None, false), [Rule::SecondCopies]);
+    assert_eq!(with_first_attempt_until(ended(1), false), [Rule::SecondCopies]);
+    assert_eq!(with_first_attempt_until(ended(0), false), []);
+    let cancelled = Observation::AttemptCancelled { job: "a".into(), worker: 0 };
+    assert_eq!(with_first_attempt_until(Some(cancelled), false), []);
+    assert_eq!(with_first_attempt_until(Some(Observation::WorkerDied { worker: 0 }), false), []);
+    assert_eq!(with_first_attempt_until(None, true), []);
+}
--- a/crates/testbed/src/scenario.rs
+++ b/crates/testbed/src/scenario.rs
@@ -31,6 +31,9 @@
     /// The schedulers' timeout for connecting to a worker, in milliseconds.
     #[serde(default = "default_connect_timeout_ms")]
     pub connect_timeout_ms: f64,
+    /// Whether the settings of the schedulers allow two attempts of a job at once.
+    #[serde(default = "default_second_copies")]
+    pub second_copies: bool,
     /// The content of the schedulers' setup file, if they have one.
     #[serde(default)]
     pub setup: Option<String>,
@@ -249,6 +252,9 @@
 fn default_connect_timeout_ms() -> f64 {
     200.0
 }
+fn default_second_copies() -> bool {
+    true
+}
 fn default_deduplication_window_ms() -> f64 {
     30_000.0
 }
--- a/crates/testbed/src/scenario/fault_kind.rs
+++ b/crates/testbed/src/scenario/fault_kind.rs
@@ -18,6 +18,11 @@
     Break,
     /// Workers run jobs and report each as failed.
     Fail,
+    /// Workers close the connection under the first attempt of each job, run it nevertheless, and report it as
+    /// failed. They run a second attempt as any other.
+    BreakThenFail,
+    /// Workers report more free slots than any machine has.
+    InvalidReports,
     /// Workers close each connection after an answer. From time to time they accept no connection for a while,
     /// so that new ones are established about a second late.
     LateConnections,
@@ -40,6 +45,9 @@
     /// As many connections as the factor send jobs to a scheduler that are rejected, the next ones as soon as
     /// the previous ones are answered.
     Flood,
+    /// As many clients as the factor send a large request without its end to a scheduler, and stay for the
+    /// duration.
+    PartialRequests,
     /// A scheduler gets SIGHUP and SIGTERM several times in quick succession, and is restarted after it
     /// exits.
     Signals,
@@ -85,6 +93,8 @@
                 | FaultKind::Refuse
                 | FaultKind::Break
                 | FaultKind::Fail
+                | FaultKind::BreakThenFail
+                | FaultKind::InvalidReports
                 | FaultKind::LateConnections
                 | FaultKind::Drain
                 | FaultKind::Twice
--- a/crates/testbed/src/schedulers/config.rs
+++ b/crates/testbed/src/schedulers/config.rs
@@ -47,7 +47,7 @@
             "MaxAttempts": 5,
             "MaxRetryAfterMs": 60_000,
             "RetryAfter": true,
-            "SecondCopies": true,
+            "SecondCopies": scenario.second_copies,
             "Probes": true,
         },
         "Report": {"Fields": ["inflight", "x0"], "Source": "inline"},
--- a/crates/testbed/src/workers.rs
+++ b/crates/testbed/src/workers.rs
@@ -5,26 +5,28 @@
 use crate::machine::{Admission, Machine, WorkerJob};
 use crate::plan::Plan;
 use crate::scenario::Scenario;
-use crate::wire::{self, Connection};
-use std::collections::HashMap;
+use crate::wire;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 mod connections;
+mod updates;
 
 /// Interval between the steps of a machine, in milliseconds.
 const STEP_INTERVAL_MS: f64 = 2.0;
-/// Maximum number of attempts to deliver a job status update.
-const UPDATE_ATTEMPTS: usize = 10;
-/// Pause after a failed attempt to deliver a job status update.
-const UPDATE_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Interval between the progress updates of a running or queued job, in milliseconds.
 const PROGRESS_INTERVAL_MS: f64 = 1_000.0;
-/// Delay of job status updates under [`ActiveFaults::delays_updates`].
-const UPDATE_DELAY: Duration = Duration::from_secs(1);
+
+/// End of the machine's id of an attempt whose connection the worker has closed. A further attempt of the same job
+/// has an id of its own and runs beside it.
+const BROKEN_ATTEMPT_SUFFIX: &str = "+broken";
+/// Share of the running time of a job after which an attempt whose connection was closed fails, so that a further
+/// one still runs.
+const BROKEN_ATTEMPT_SHARE: f64 = 0.5;
 
 /// The faults that are active at a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -41,6 +43,10 @@
     pub delays_updates: bool,
     /// The worker runs jobs and reports each as failed.
     pub fails_jobs: bool,
+    /// The worker closes the connection under the first attempt of each job, runs it and reports it as failed.
+    pub breaks_first_attempts: bool,
+    /// The worker reports more free slots than any machine has.
+    pub reports_invalid_load: bool,
     /// The worker closes each connection after an answer.
     pub closes_connections: bool,
 }
@@ -48,8 +54,10 @@
 struct State {
     machine: Machine,
     faults: ActiveFaults,
-    /// The scheduler that sent each job, by trace id.
+    /// The scheduler that sent each job, by the machine's id of the attempt.
     senders: HashMap<String, usize>,
+    /// The jobs under whose first attempt the worker has closed the connection, by trace id.
+    broken_jobs: HashSet<String>,
     /// The number of the process, incremented by each crash. Jobs and connections of earlier processes are
     /// lost.
     process: u64,
@@ -115,7 +123,13 @@
         let speed = scenario.speed_of(number);
         let machine =
             Machine::new(fleet.slots, fleet.queue, speed, fleet.slow_start_capacity, fleet.slow_start_ms);
-        let state = State { machine, faults: ActiveFaults::default(), senders: HashMap::new(), process: 0 };
+        let state = State {
+            machine,
+            faults: ActiveFaults::default(),
+            senders: HashMap::new(),
+            broken_jobs: HashSet::new(),
+            process: 0,
+        };
         let mut addrs = Vec::new();
         let mut listeners = Vec::new();
         for _ in &schedulers {
@@ -170,7 +184,11 @@
         for (job, scheduler) in lost {
             self.notify(
                 scheduler,
-                format!(r#"{{"id":"{job}","from":"{}","state":"lost"}}"#, worker_name(self.number)),
+                format!(
+                    r#"{{"id":"{}","from":"{}","state":"lost"}}"#,
+                    trace_id(&job),
+                    worker_name(self.number)
+                ),
             );
         }
     }
@@ -184,12 +202,6 @@
         state.faults = ActiveFaults::default();
     }
 
-    /// Returns the load report: the number of jobs (`inflight`) and of free slots (`x0`).
-    fn load_report(&self) -> String {
-        let state = self.state();
-        format!("inflight={}, x0={}", state.machine.jobs().0, state.machine.free_slots())
-    }
-
     /// Handles a job from a scheduler. Returns the response, or `None` to close the connection without one.
     fn receive_job(&self, scheduler: usize, message: &wire::Message) -> Option<Vec<u8>> {
         let (number, id) = (self.number, message.header("X-Trace-Id").unwrap_or("").to_string());
@@ -215,11 +227,17 @@
             record_arrival(503, false);
             return Some(wire::response(503, &[("X-Never-Ran", "1")], b""));
         }
-        let drops_connection = state.faults.drops_connections;
-        let worker_job = WorkerJob { id: id.clone(), slots: job.slots, remaining_ms: job.running_time };
+        let mut worker_job = WorkerJob { id: id.clone(), slots: job.slots, remaining_ms: job.running_time };
+        let breaks_first = state.faults.breaks_first_attempts && state.broken_jobs.insert(id.clone());
+        if breaks_first {
+            worker_job.id += BROKEN_ATTEMPT_SUFFIX;
+            worker_job.remaining_ms *= BROKEN_ATTEMPT_SHARE;
+        }
+        let drops_connection = state.faults.drops_connections || breaks_first;
+        let machine_id = worker_job.id.clone();
         let admission = state.machine.submit(worker_job);
         if admission == Admission::Accepted {
-            state.senders.insert(id.clone(), scheduler);
+            state.senders.insert(machine_id, scheduler);
         }
         drop(state);
         match admission {
@@ -291,53 +309,6 @@
         let (_, queue) = state.machine.jobs();
         Some(Step { started, done, running, load: Load { slots: state.machine.slots_in_use(), queue } })
     }
-
-    /// Records the results of a step and sends job status updates for them.
-    fn publish(&self, step: Step) {
-        let from = worker_name(self.number);
-        for SentJob { scheduler, id } in step.running {
-            let update = format!(r#"{{"id":"{id}","from":"{from}","state":"running","share":0.5}}"#);
-            self.notify(scheduler, update);
-        }
-        for SentJob { scheduler, id } in step.started {
-            self.journal.record(Observation::JobStarted { job: id.clone(), worker: self.number });
-            self.notify(scheduler, format!(r#"{{"id":"{id}","from":"{from}","state":"started"}}"#));
-        }
-        let fails_jobs = self.state().faults.fails_jobs;
-        for SentJob { scheduler, id } in step.done {
-            if fails_jobs {
-                self.notify(scheduler, format!(r#"{{"id":"{id}","from":"{from}","state":"failed"}}"#));
-                continue;
-            }
-            self.journal.record(Observation::JobDone { job: id.clone(), worker: self.number });
-            let load = self.load_report().replace("inflight=", r#""inflight":"#).replace("x0=", r#""x0":"#);
-            let result = result_of(&id);
-            let update = format!(
-                r#"{{"id":"{id}","from":"{from}","state":"done","result":"{result}","load":{{{load}}}}}"#
-            );
-            self.notify(scheduler, update);
-        }
-    }
-
-    /// Sends a job status update to a scheduler, in up to [`UPDATE_ATTEMPTS`] attempts until it is answered
-    /// with 200, 204 or 400.
-    fn notify(&self, scheduler: usize, body: String) {
-        let faults = self.state().faults;
-        let Some(addr) = self.schedulers.get(scheduler).copied() else { return };
-        tokio::spawn(async move {
-            if faults.delays_updates {
-                tokio::time::sleep(UPDATE_DELAY).await;
-            }
-            for _ in 0..=usize::from(faults.duplicates_updates) {
-                for _ in 0..UPDATE_ATTEMPTS {
-                    match send_update(addr, &body).await {
-                        Ok(200 | 204 | 400) => break,
-                        _ => tokio::time::sleep(UPDATE_RETRY_PAUSE).await,
-                    }
-                }
-            }
-        });
-    }
 }
 
 /// Parses a duration in a header into milliseconds: a number with the suffix `m` for milliseconds or `u` for
@@ -352,12 +323,7 @@
     format!("made for {id}")
 }
 
-async fn send_update(addr: SocketAddr, body: &str) -> std::io::Result<u16> {
-    let exchange = async {
-        let mut connection = Connection::new(TcpStream::connect(addr).await?);
-        let headers = [("Host", "s"), ("Connection", "close")];
-        connection.send(&wire::message("POST /_jobs/news HTTP/1.1\r\n", &headers, body.as_bytes())).await?;
-        Ok(connection.message().await?.map_or(0, |m| m.status()))
-    };
-    tokio::time::timeout(Duration::from_secs(2), exchange).await?
+/// Returns the trace id of a job from the machine's id of an attempt.
+fn trace_id(machine_id: &str) -> &str {
+    machine_id.strip_suffix(BROKEN_ATTEMPT_SUFFIX).unwrap_or(machine_id)
 }
--- a/crates/testbed/src/workers/connections.rs
+++ b/crates/testbed/src/workers/connections.rs
@@ -1,6 +1,7 @@
 //! The connections of workers from schedulers.
 
 use super::Worker;
+use crate::journal::Observation;
 use crate::wire::{self, Connection, StartLine};
 use socket2::SockRef;
 use std::sync::Arc;
@@ -71,6 +72,8 @@
                 },
                 ("DELETE", path) => {
                     let id = path.strip_prefix("/jobs/").unwrap_or("");
+                    self.journal
+                        .record(Observation::AttemptCancelled { job: id.into(), worker: self.number });
                     self.state().machine.cancel(id);
                     wire::response(200, &[], b"")
                 }
--- a/crates/testbed/tests/soak.rs
+++ b/crates/testbed/tests/soak.rs
@@ -53,6 +53,9 @@
         FaultKind::LateConnections,
         FaultKind::Fail,
         FaultKind::Flood,
+        FaultKind::BreakThenFail,
+        FaultKind::InvalidReports,
+        FaultKind::PartialRequests,
     ] {
         assert!(with_fault(kind) >= 5, "{kind:?} in {} of 50 seeds", with_fault(kind));
     }
