Upgrade: reach the socket of the predecessor whatever the length of its path

Cause: the address of a Unix socket holds 107 bytes of path. With a longer one in TMPDIR, the first process could not listen for a successor, and the second one took the failed connect for the absence of a first process.

Evidence: upgrade_works_with_a_temporary_directory_of_any_path_length failed before: the successor is ready at once.

Change: a path that is too long is used through a descriptor of its directory.

Why this works: the socket stays at its path, and the name that the system sees is short.

--- a/crates/decision/src/policy/capacity.rs
+++ b/crates/decision/src/policy/capacity.rs
@@ -28,8 +28,8 @@
         self.estimated_token_count(worker).min(self.token_limit())
     }
 
-    /// Returns the maximum number of tokens of a worker. The slot counts from which the tokens follow come from
-    /// outside, and a single one may apply to all workers of a machine kind.
+    /// Returns the maximum number of tokens of a worker. The slot counts from which the tokens follow come
+    /// from outside, and a single one may apply to all workers of a machine kind.
     fn token_limit(&self) -> i64 {
         let even_share = MAX_TOKENS / self.workers.len().max(1);
         even_share.max(MIN_TOKEN_LIMIT) as i64
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -48,6 +48,7 @@
 mod sockets;
 mod transfer;
 mod upgrade;
+mod upgrade_socket;
 mod upgrade_state;
 mod upstreams;
 mod watch;
--- a/crates/node/src/event_loop/descriptor_passing.rs
+++ b/crates/node/src/event_loop/descriptor_passing.rs
@@ -1,6 +1,7 @@
 //! Passing of descriptors between the two processes of an upgrade. A starting process obtains its client
 //! listener from the predecessor or creates it.
 
+use super::upgrade_socket;
 use crate::clock::{Clock, Millis};
 use crate::net::READ_BUFFER_BYTES;
 use crate::upgrade_protocol::{Link, Message, SchedulerState};
@@ -92,7 +93,7 @@
     socket_path: Option<&Path>,
     clock: &Clock,
 ) -> io::Result<Startup> {
-    if let Some(stream) = socket_path.and_then(|path| StdUnixStream::connect(path).ok()) {
+    if let Some(stream) = socket_path.and_then(|path| upgrade_socket::connect(path).ok()) {
         match receive_from_predecessor(stream, clock) {
             Ok(startup) => return Ok(startup),
             Err(e) => log::warn!("upgrade failed: step=receive-state error={e}"),
--- a/crates/node/src/event_loop/upgrade.rs
+++ b/crates/node/src/event_loop/upgrade.rs
@@ -4,7 +4,7 @@
 use super::accept::AcceptSchedule;
 use super::descriptor_passing::{receive_with_descriptors, send_with_descriptor, Predecessor};
 use super::upgrade_state::Peer;
-use super::{membership, EventLoop, CLIENT_LISTENER, UPGRADE_PEER, UPGRADE_SOCKET};
+use super::{membership, upgrade_socket, EventLoop, CLIENT_LISTENER, UPGRADE_PEER, UPGRADE_SOCKET};
 use crate::admin::AdminRequest;
 use crate::job_status::JobStatusUpdate;
 use crate::net::{self, WriteResult, READ_BUFFER_BYTES};
@@ -115,7 +115,7 @@
     }
 
     fn listen_for_successors(&self, path: &Path) -> io::Result<UnixListener> {
-        let mut socket = UnixListener::bind(path)?;
+        let mut socket = upgrade_socket::bind(path)?;
         self.poll.registry().register(&mut socket, UPGRADE_SOCKET, Interest::READABLE)?;
         Ok(socket)
     }
--- a/crates/node/tests/serve/harness.rs
+++ b/crates/node/tests/serve/harness.rs
@@ -207,7 +207,7 @@
         if let Some(setup) = &setup {
             command.arg("--setup").arg(setup);
         }
-        command.env("TMPDIR", env!("CARGO_TARGET_TMPDIR"));
+        command.env("TMPDIR", config.parent().unwrap());
         let mut process = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(process.stderr.take().unwrap());
         let addr = logged_address(&mut log, "] listening: ");
--- a/crates/node/tests/serve/upgrades.rs
+++ b/crates/node/tests/serve/upgrades.rs
@@ -45,6 +45,25 @@
     assert!(new.admin_accepts("GET /healthcheck"));
 }
 
+#[test]
+fn upgrade_works_with_a_temporary_directory_of_any_path_length() {
+    // Guards against two processes that serve one address and do not know of each other, as the path of their
+    // upgrade socket did not fit into a socket address (108 bytes).
+    let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join("d".repeat(120)).join("e".repeat(120));
+    std::fs::create_dir_all(&directory).unwrap();
+    let (worker_listener, discovery_listener) = (listen(), listen());
+    let discovery_addr = discovery_listener.local_addr().unwrap();
+    let file = write_config("long-path", discovery_addr, worker_listener.local_addr().unwrap(), 1);
+    let addr = free_address_on([127, 77, 0, 31]);
+    let text = std::fs::read_to_string(&file).unwrap().replacen("127.0.0.1:0", &addr.to_string(), 1);
+    let config = directory.join("long-path.json");
+    std::fs::write(&config, text).unwrap();
+    let old = Scheduler::launch(config, None, worker_listener, discovery_listener).with_confirmed_list();
+    assert!(old.admin_accepts("PUT /workers/s-1/maint"));
+    let (new, _watches) = old.upgrade();
+    assert!(new.admin_request("GET /stats").body.contains(r#""workers_excluded":1"#));
+}
+
 #[test]
 fn shutdown_migrates_clients_and_jobs_to_the_successor() {
     let mut old = Scheduler::upgradable("migrated", 3);
--- a/crates/testbed/src/schedulers.rs
+++ b/crates/testbed/src/schedulers.rs
@@ -1,25 +1,23 @@
 //! Processes of the scheduler program, which are started and stopped as operators do it.
 
 mod config;
+mod process;
 mod signals;
 
 use crate::free_address::free_address;
 use crate::journal::{Journal, Observation};
-use crate::memory_use::record_scheduler_memory;
 use crate::relay::Relay;
 use crate::scenario::{Members, Scenario};
-use crate::scheduling_delays::record_scheduler_waits;
 use crate::wire::{self, Connection};
 use anyhow::{bail, Context, Result};
-use config::{member_name, SchedulerParameters};
+use config::member_name;
 use rustix::process::Signal;
 use signals::{send_signal, send_signals};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::process::{Child, Command};
+use tokio::process::Child;
 
 /// Time within which a scheduler must start or exit; otherwise the run fails.
 const START_OR_EXIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -110,36 +108,6 @@
         self
     }
 
-    fn spawn(&mut self, scenario: &Scenario, admin: SocketAddr) -> Result<Child> {
-        self.process_count += 1;
-        let parameters = SchedulerParameters {
-            number: self.number,
-            addresses: Addresses { listen: self.addresses.listen, admin },
-            discovery: self.discovery,
-            known_endpoints: &self.known_endpoints,
-        };
-        let config = self.directory.join("config.json");
-        std::fs::write(&config, serde_json::to_vec_pretty(&config::config(scenario, &parameters))?)?;
-        let log = std::fs::File::create(self.directory.join(format!("log-{}.txt", self.process_count)))?;
-        let mut command = Command::new(&self.binary);
-        command.arg("serve").arg("--config").arg(&config);
-        if scenario.setup.is_some() || !self.members_element.is_empty() {
-            let path = self.directory.join("setup.xml");
-            let setup = scenario.setup.as_deref().unwrap_or("<postusher></postusher>");
-            let setup = setup.replacen("</postusher>", &format!("{}</postusher>", self.members_element), 1);
-            std::fs::write(&path, setup)?;
-            command.arg("--setup").arg(path);
-        }
-        command.env("TMPDIR", &self.directory).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        let child = command.kill_on_drop(true).spawn();
-        let child = child.with_context(|| format!("cannot start {}", self.binary.display()))?;
-        if let Some(process) = child.id() {
-            tokio::spawn(record_scheduler_waits(self.journal.clone(), self.number, process));
-            tokio::spawn(record_scheduler_memory(self.journal.clone(), self.number, process));
-        }
-        Ok(child)
-    }
-
     /// Starts a process and waits until it accepts clients.
     ///
     /// # Errors
