Upgrade: handle the messages that arrive with the end of a large state

A worker that an operator takes out while a successor receives a state of over 64 KiB gets jobs from it.

Cause: the successor kept only the first message of each read until it had the state. The end of a large state comes in one read with what follows it.

Evidence: messages_that_arrive_with_the_end_of_a_large_state_are_handled failed before: the worker is not excluded. It asks for two messages, an operator's request and a trace id.

Change: messages and descriptors behind the state are kept and handled once the link is set up.

Why this works: nothing that has been read is dropped any more, and the order is as sent.

--- a/crates/node/src/event_loop/descriptor_passing.rs
+++ b/crates/node/src/event_loop/descriptor_passing.rs
@@ -73,6 +73,10 @@
     pub(super) stream: StdUnixStream,
     /// Messages from and to the predecessor.
     pub(super) link: Link,
+    /// Messages that have arrived with the end of the state.
+    pub(super) messages: Vec<Message>,
+    /// Descriptors that have arrived with these messages.
+    pub(super) descriptors: VecDeque<OwnedFd>,
 }
 
 /// The client listener and, in an upgrade, the predecessor with which a process starts.
@@ -121,11 +125,12 @@
         let remaining = (deadline - clock.now()).max(1.0);
         stream.set_read_timeout(Some(Duration::from_secs_f64(remaining / 1e3)))?;
         let length = receive_with_descriptors(&stream, &mut buffer, &mut descriptors)?;
-        // The state is the first message, and no other message arrives with it.
-        let message = link.receive(&buffer[..length]).into_iter().next();
-        match (message, descriptors.pop_front()) {
+        // The state is the first message. Others may arrive with its end, if it is large.
+        let mut messages = link.receive(&buffer[..length]).into_iter();
+        match (messages.next(), descriptors.pop_front()) {
             (Some(Message::State(state)), Some(listener)) => {
-                let predecessor = Some(Predecessor { state, stream, link });
+                let messages = messages.collect();
+                let predecessor = Some(Predecessor { state, stream, link, messages, descriptors });
                 return Ok(Startup { listener: listener.into(), predecessor });
             }
             (Some(message), _) => {
--- a/crates/node/src/event_loop/upgrade.rs
+++ b/crates/node/src/event_loop/upgrade.rs
@@ -12,6 +12,7 @@
 use mio::net::{UnixListener, UnixStream};
 use mio::Interest;
 use postusher_deferred_jobs::JobEndStatus;
+use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
 use std::os::fd::AsFd;
 use std::path::Path;
@@ -23,7 +24,7 @@
     /// # Errors
     /// The connection to the predecessor cannot be registered for polling.
     pub(super) fn start_as_successor(&mut self, predecessor: Predecessor) -> io::Result<()> {
-        let Predecessor { state, stream, link } = predecessor;
+        let Predecessor { state, stream, link, messages, descriptors } = predecessor;
         stream.set_nonblocking(true)?;
         log::info!("upgrade started: role=successor");
         self.upgrade.has_shared_listener = true;
@@ -43,19 +44,22 @@
             self.dispatch.job_started_elsewhere(&trace_id);
             self.dispatch.job_ended_elsewhere(&trace_id, status, now);
         }
-        self.attach_peer(UnixStream::from_std(stream), link)?;
+        self.attach_peer(Peer::new(UnixStream::from_std(stream), link, descriptors))?;
         // The current list may be old, and this process starts to accept clients once a complete list has
         // arrived, so the complete list is requested.
         self.endpoints.discovery_moved();
         self.dispatch.discovery_moved();
+        for message in messages {
+            self.handle_peer_message(message);
+        }
         Ok(())
     }
 
     /// Registers the connection to the other process and leaves half of the descriptors to that process.
-    fn attach_peer(&mut self, mut stream: UnixStream, link: Link) -> io::Result<()> {
+    fn attach_peer(&mut self, mut peer: Peer) -> io::Result<()> {
         let interest = Interest::READABLE | Interest::WRITABLE;
-        self.poll.registry().register(&mut stream, UPGRADE_PEER, interest)?;
-        self.upgrade.peer = Some(Peer::new(stream, link));
+        self.poll.registry().register(&mut peer.stream, UPGRADE_PEER, interest)?;
+        self.upgrade.peer = Some(peer);
         self.divide_limits();
         Ok(())
     }
@@ -89,7 +93,7 @@
         self.upgrade.has_shared_listener = true;
         let sent = send_with_descriptor(&stream, link.write_buffer.unsent(), listener.as_fd())?;
         link.write_buffer.mark_sent(sent);
-        self.attach_peer(stream, link)
+        self.attach_peer(Peer::new(stream, link, VecDeque::new()))
     }
 
     /// Starts accepting client connections and listening for successors. If the upgrade socket cannot be
--- a/crates/node/src/event_loop/upgrade_state.rs
+++ b/crates/node/src/event_loop/upgrade_state.rs
@@ -19,9 +19,10 @@
 }
 
 impl Peer {
-    /// Creates the state of a link on which messages can be sent and received.
-    pub(super) fn new(stream: UnixStream, link: Link) -> Peer {
-        Peer { stream, link, received_descriptors: VecDeque::new(), is_shut_down: false }
+    /// Creates the state of a link on which messages can be sent and received. `received_descriptors` are those of
+    /// messages that have arrived and have not been handled yet.
+    pub(super) fn new(stream: UnixStream, link: Link, received_descriptors: VecDeque<OwnedFd>) -> Peer {
+        Peer { stream, link, received_descriptors, is_shut_down: false }
     }
 
     /// Returns whether all messages to the other process have been sent.
--- a/crates/node/tests/serve/predecessor.rs
+++ b/crates/node/tests/serve/predecessor.rs
@@ -38,6 +38,16 @@
 
     /// Starts a successor and hands it the client listener and the trace ids of the jobs that are open here.
     pub fn start_successor(&self, name: &str, open_jobs: &[&str]) -> (Scheduler, SuccessorLink) {
+        self.start_successor_with(name, open_jobs, &[])
+    }
+
+    /// Like `start_successor`, with further messages that arrive together with the end of the state.
+    pub fn start_successor_with(
+        &self,
+        name: &str,
+        open_jobs: &[&str],
+        messages: &[Value],
+    ) -> (Scheduler, SuccessorLink) {
         let worker_listener = listen();
         let discovery_listener = listen();
         let discovery_addr = discovery_listener.local_addr().unwrap();
@@ -47,7 +57,7 @@
         std::fs::write(&config, text).unwrap();
         // The successor is ready for the test only once it has the state, so another thread sends it.
         std::thread::scope(|scope| {
-            let link = scope.spawn(|| self.send_state(open_jobs));
+            let link = scope.spawn(|| self.send_state(open_jobs, messages));
             let scheduler = Scheduler::launch(config, None, worker_listener, discovery_listener);
             (scheduler, link.join().unwrap())
         })
@@ -57,10 +67,11 @@
         self.listener.local_addr().unwrap()
     }
 
-    fn send_state(&self, open_jobs: &[&str]) -> SuccessorLink {
+    fn send_state(&self, open_jobs: &[&str], messages: &[Value]) -> SuccessorLink {
         let link = SuccessorLink { stream: self.upgrade_socket.accept().unwrap().0 };
         let state = json!({"state": {"taken_out": [], "drained": false, "open": open_jobs}});
-        link.send_with_descriptor(&state, self.listener.as_fd());
+        let lines: String = messages.iter().map(|message| format!("{message}\n")).collect();
+        link.send_text_with_descriptor(&format!("{state}\n{lines}"), self.listener.as_fd());
         link
     }
 
@@ -79,7 +90,10 @@
 
 impl SuccessorLink {
     fn send_with_descriptor(&self, message: &Value, descriptor: BorrowedFd) {
-        let line = format!("{message}\n");
+        self.send_text_with_descriptor(&format!("{message}\n"), descriptor);
+    }
+
+    fn send_text_with_descriptor(&self, line: &str, descriptor: BorrowedFd) {
         let descriptors = [descriptor];
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
         let mut ancillary = SendAncillaryBuffer::new(&mut space);
--- a/crates/node/tests/serve/upgrade_link.rs
+++ b/crates/node/tests/serve/upgrade_link.rs
@@ -79,3 +79,23 @@
     successor.finish_job("t2");
     assert_eq!(client.read_message().line, "HTTP/1.1 200 OK");
 }
+
+/// A request of an operator must not be lost because it arrives in one read with the end of a large state: a worker
+/// that is disabled in that moment would get jobs.
+#[test]
+fn messages_that_arrive_with_the_end_of_a_large_state_are_handled() {
+    const OPEN_JOBS: usize = 1_200;
+    let predecessor = Predecessor::listen(43);
+    let ids: Vec<String> = (0..OPEN_JOBS).map(|n| format!("{n:0>100}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let disable = serde_json::json!({"called": {"take_out": "s-1"}});
+    let job_started = serde_json::json!({"open": "t1"});
+    let (mut successor, _link) =
+        predecessor.start_successor_with("link-large-state", &ids, &[disable, job_started]);
+    let _watch = successor.send_complete_list();
+    successor.wait_for_log("accepting clients: role=successor");
+    assert!(successor.admin_request("GET /stats").body.contains(r#""workers_excluded":1"#));
+    let mut duplicate = successor.connect();
+    duplicate.send_job("t1");
+    assert_eq!(duplicate.read_message().line, "HTTP/1.1 409 Conflict");
+}
