Upgrade: end a third process at one address instead of letting it serve

Cause: a process that takes part in an upgrade refuses a further one by closing its connection. The third process took this for a process that does not answer, and opened a listener of its own.

Change: a closed connection is a refusal, with a type of its own.

Why this works: the two processes of an upgrade hold the only upgrade socket, so a third one always meets a refusal while there are two. If one exits within the second, it becomes a successor.

--- a/crates/node/src/event_loop/descriptor_passing.rs
+++ b/crates/node/src/event_loop/descriptor_passing.rs
@@ -19,10 +19,16 @@
 use std::os::unix::net::UnixStream as StdUnixStream;
 use std::path::Path;
 use std::time::Duration;
+use thiserror::Error;
 
 /// Time within which the predecessor must send its state; otherwise the new process starts without that state
 /// and binds its own listener.
 const STATE_TIMEOUT: Millis = 1_000.0;
+/// Time within which a process that refuses a successor must accept it after all, because its own predecessor
+/// exits; otherwise the new process ends.
+const REFUSAL_TIMEOUT: Millis = 1_000.0;
+/// Pause before a process that has refused is asked again.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(50);
 /// Length of the accept queue of the client listener, the default maximum of Linux (`net.core.somaxconn`).
 const LISTEN_BACKLOG: i32 = 4_096;
 
@@ -87,20 +93,40 @@
     pub(super) predecessor: Option<Predecessor>,
 }
 
+/// Reason why a process at the upgrade socket has not handed its listener over.
+#[derive(Debug, Error)]
+enum HandoverError {
+    /// The process has closed the connection: it takes part in an upgrade already.
+    #[error("the process at the upgrade socket has refused")]
+    Refused,
+    /// The connection failed, something else than the state was sent, or nothing was sent in time.
+    #[error(transparent)]
+    Failed(#[from] io::Error),
+}
+
 /// Obtains the client listener from the process that listens on `socket_path`. Binds a new listener if there
-/// is no such process or it does not hand its listener over.
+/// is no such process or it does not answer.
 ///
 /// # Errors
-/// The address cannot be bound.
+/// [`ErrorKind::AddrInUse`] if two other processes serve the address; another error if the address cannot be
+/// bound.
 pub(super) fn obtain_listener(
     listen: SocketAddr,
     socket_path: Option<&Path>,
     clock: &Clock,
 ) -> io::Result<Startup> {
-    if let Some(stream) = socket_path.and_then(|path| upgrade_socket::connect(path).ok()) {
+    let deadline = clock.now() + REFUSAL_TIMEOUT;
+    while let Some(stream) = socket_path.and_then(|path| upgrade_socket::connect(path).ok()) {
         match receive_from_predecessor(stream, clock) {
             Ok(startup) => return Ok(startup),
-            Err(e) => log::warn!("upgrade failed: step=receive-state error={e}"),
+            Err(HandoverError::Refused) if clock.now() < deadline => std::thread::sleep(REFUSAL_PAUSE),
+            Err(HandoverError::Refused) => {
+                return Err(io::Error::new(ErrorKind::AddrInUse, "two other processes serve this address"));
+            }
+            Err(HandoverError::Failed(e)) => {
+                log::warn!("upgrade failed: step=receive-state error={e}");
+                break;
+            }
         }
     }
     let socket = Socket::new(Domain::for_address(listen), Type::STREAM, Some(Protocol::TCP))?;
@@ -116,7 +142,7 @@
 ///
 /// # Errors
 /// The connection failed or was closed, the predecessor sent something else, or nothing arrived in time.
-fn receive_from_predecessor(stream: StdUnixStream, clock: &Clock) -> io::Result<Startup> {
+fn receive_from_predecessor(stream: StdUnixStream, clock: &Clock) -> Result<Startup, HandoverError> {
     let mut link = Link::default();
     let mut descriptors = VecDeque::new();
     let mut buffer = vec![0; READ_BUFFER_BYTES];
@@ -136,13 +162,12 @@
             (Some(message), _) => {
                 let error =
                     format!("predecessor sent {message:?} instead of its state with the client listener");
-                return Err(io::Error::other(error));
+                return Err(io::Error::other(error).into());
             }
-            (None, _) if length == 0 || clock.now() >= deadline => {
-                let error = format!(
-                    "predecessor closed the connection or did not send its state within {STATE_TIMEOUT} ms"
-                );
-                return Err(io::Error::new(ErrorKind::TimedOut, error));
+            (None, _) if length == 0 => return Err(HandoverError::Refused),
+            (None, _) if clock.now() >= deadline => {
+                let error = format!("predecessor did not send its state within {STATE_TIMEOUT} ms");
+                return Err(io::Error::new(ErrorKind::TimedOut, error).into());
             }
             (None, listener) => descriptors.extend(listener),
         }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -49,6 +49,9 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// Exit code of a process whose address other processes serve.
+const ADDRESS_IN_USE_EXIT_CODE: u8 = 3;
+
 /// A scheduler that accepts jobs over HTTP and sends each to the worker that fits it best; among equal
 /// workers, to the one with the longest-free token.
 #[derive(Parser)]
@@ -126,6 +129,18 @@
     Direct(#[from] direct::ServeError),
 }
 
+impl CommandError {
+    /// Returns the exit code of the program.
+    fn exit_code(&self) -> ExitCode {
+        match self {
+            CommandError::Scheduler { source, .. } if source.kind() == io::ErrorKind::AddrInUse => {
+                ExitCode::from(ADDRESS_IN_USE_EXIT_CODE)
+            }
+            _ => ExitCode::FAILURE,
+        }
+    }
+}
+
 fn run(command: Command) -> Result<ExitCode, CommandError> {
     match command {
         Command::Serve(args) => serve(args)?,
@@ -184,6 +199,6 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     run(command).unwrap_or_else(|error| {
         eprintln!("postusher: {error}");
-        ExitCode::FAILURE
+        error.exit_code()
     })
 }
--- a/crates/node/tests/serve/upgrades.rs
+++ b/crates/node/tests/serve/upgrades.rs
@@ -64,6 +64,30 @@
     assert!(new.admin_request("GET /stats").body.contains(r#""workers_excluded":1"#));
 }
 
+#[test]
+fn third_process_at_an_address_ends_with_an_error() {
+    // Guards against a third process that serves clients beside the two of an upgrade, without knowing of them.
+    const EXIT_TIMEOUT: Duration = Duration::from_secs(5);
+    const ADDRESS_SERVED: i32 = 3;
+    let old = Scheduler::upgradable("third", 32);
+    let (new, _watches) = old.upgrade();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_postusher"));
+    command.arg("serve").arg("--config").arg(&old.config).env_remove("RUST_LOG");
+    command.env("TMPDIR", old.config.parent().unwrap()).stderr(std::process::Stdio::piped());
+    let mut third = command.spawn().unwrap();
+    let deadline = std::time::Instant::now() + EXIT_TIMEOUT;
+    while third.try_wait().unwrap().is_none() && std::time::Instant::now() < deadline {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let _ = third.kill(); // fails if it has exited
+    let output = third.wait_with_output().unwrap();
+    let log = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(ADDRESS_SERVED), "{log}");
+    assert!(log.contains("two other processes serve this address"), "{log}");
+    assert!(!log.contains("listening: "), "{log}");
+    assert!(new.is_ready() && new.admin_accepts("GET /healthcheck"));
+}
+
 #[test]
 fn shutdown_migrates_clients_and_jobs_to_the_successor() {
     let mut old = Scheduler::upgradable("migrated", 3);
