Retry at once after an uncertain end where the settings allow two attempts

Where SecondCopies is true, nothing asks for that, and a worker that hangs could delay the retry by 2 s.

Change: there the attempt is given up as any other: it is cancelled, or abandoned before its 202, and ends at once. Where the settings allow no second copies, it waits as before.

Test: uncertain_failure_is_retried_at_once_where_two_attempts_are_allowed: the retry arrives before the cancellation is answered. The model of jobs covers both settings.

--- a/crates/node/src/dispatch/attempts.rs
+++ b/crates/node/src/dispatch/attempts.rs
@@ -212,7 +212,13 @@
 
     /// Ends an attempt, if it is pending, before its worker has. An attempt that is being sent is abandoned;
     /// one that its worker has accepted is cancelled there if the settings allow it.
-    fn give_up_attempt(&mut self, id: JobId, attempt_id: AttemptId, result: AttemptResult, now: Millis) {
+    pub(super) fn give_up_attempt(
+        &mut self,
+        id: JobId,
+        attempt_id: AttemptId,
+        result: AttemptResult,
+        now: Millis,
+    ) {
         let Some(job) = self.jobs.get(&id) else { return };
         let Some(attempt) = job.pending_attempt(attempt_id) else { return };
         match attempt.state {
--- a/crates/node/src/dispatch/status_updates.rs
+++ b/crates/node/src/dispatch/status_updates.rs
@@ -3,7 +3,8 @@
 //! An update names the job and the worker, not the attempt. If the connection of an attempt ends before the
 //! worker has accepted it, the job may go to the same worker again, which may run both attempts. An update that
 //! says that the job has ended without a result may then be of either attempt. The later one counts as ended
-//! only once the worker has cancelled it, as otherwise a further attempt could run at the same time.
+//! only once the worker has cancelled it, as otherwise a further attempt could run at the same time where the
+//! settings do not allow this.
 
 use super::open_job::AttemptState;
 use super::{Command, Dispatch};
@@ -98,8 +99,8 @@
     }
 
     /// Ends an attempt with this result once its worker has cancelled it, or once its worker has accepted and
-    /// then cancelled it. If workers do not cancel attempts, it stays pending until its result or its deadline,
-    /// unless the settings allow two attempts at once.
+    /// then cancelled it. If workers do not cancel attempts, it stays pending until its result or its deadline.
+    /// Where the settings allow two attempts at once, it is given up without waiting.
     pub(super) fn end_after_cancellation(
         &mut self,
         id: JobId,
@@ -107,20 +108,17 @@
         result: AttemptResult,
         now: Millis,
     ) {
-        let settings = &self.site.settings;
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let attempt = job.attempts.get_mut(attempt_id.index()).filter(|attempt| attempt.is_begun);
         // The worker cannot have reported the end of an attempt that it has not been sent.
         let Some(attempt) = attempt else { return };
-        attempt.uncertain_end = Some(result);
-        if attempt.state != AttemptState::Accepted {
-            return;
+        if self.site.settings.hedging_allowed {
+            return self.give_up_attempt(id, attempt_id, result, now);
         }
-        if settings.cancellation_allowed {
+        attempt.uncertain_end = Some(result);
+        if attempt.state == AttemptState::Accepted && self.site.settings.cancellation_allowed {
             attempt.state = AttemptState::Cancelling { result };
             self.request_cancellation(id, attempt_id);
-        } else if settings.hedging_allowed {
-            self.end_attempt(id, attempt_id, result, Vec::new(), now);
         }
     }
 
@@ -150,9 +148,6 @@
             TaskOutcome::Answer(_) => self.end_attempt(id, attempt_id, result, Vec::new(), now),
             // The stale connection is closed, so a further one is used.
             TaskOutcome::Stale { .. } => self.request_cancellation(id, attempt_id),
-            _ if self.site.settings.hedging_allowed => {
-                self.end_attempt(id, attempt_id, result, Vec::new(), now);
-            }
             _ => attempt.state = AttemptState::Accepted,
         }
     }
--- a/crates/node/src/model/jobs.rs
+++ b/crates/node/src/model/jobs.rs
@@ -361,7 +361,7 @@
         for (id, attempt_id) in std::mem::take(&mut self.awaited_cancellations) {
             let is_answered = !choice.is_multiple_of(4);
             let outcome = if is_answered { worker_answer(200, choice) } else { TaskOutcome::NotSent };
-            if is_answered || self.site.settings.hedging_allowed {
+            if is_answered {
                 self.attempts.entry((id, attempt_id)).and_modify(|attempt| attempt.is_pending = false);
             }
             self.dispatch.cancellation_ended(id, attempt_id, &outcome, self.now);
--- a/crates/node/tests/serve/earlier_attempts.rs
+++ b/crates/node/tests/serve/earlier_attempts.rs
@@ -116,6 +116,18 @@
     job.assert_retried_at_second_worker();
 }
 
+#[test]
+fn uncertain_failure_is_retried_at_once_where_two_attempts_are_allowed() {
+    // Guards against a retry that waits for a worker although the settings do not ask for that.
+    let with_hedging =
+        |text: String| text.replace("\"Cancel\": true", "\"Cancel\": true, \"SecondCopies\": true");
+    let mut job = RepeatedJob::start("earlier-hedging", with_hedging);
+    job.accept();
+    job.send_status(r#""failed""#);
+    job.assert_retried_at_second_worker();
+    job.cancellation().send(CANCELLED);
+}
+
 #[test]
 fn attempt_that_cannot_be_cancelled_stays_pending_after_an_uncertain_failure() {
     // Guards against two attempts at once where workers do not cancel, and against the loss of the result.
